Set down the workspace, the core types and the replay of the log

Cause: the repository was empty. Change: the design page, the folders of the workspace, identifiers, errors over LEAF, the message interfaces that all transports share, the clock with its paused variant, tables with a checked lock order, and ClusterState, which replays conditional records. Ruled out: an elected leader and per-key records; the design page gives the reasons. Conclusion: the remaining libraries can be built against these headers.

--- /dev/null
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -0,0 +1,147 @@
+// Requests and responses as all transports exchange them, and the interfaces to send and serve
+// them.
+#pragma once
+
+#include "amaranthdale/core/outcome.h"
+#include "amaranthdale/core/types.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthdale::core {
+
+/// Address of a TCP listener: an IP address in text form and a port.
+struct Endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+/// Reads "address:port"; IPv6 addresses stand in brackets. Fails with InvalidArgument.
+Result<Endpoint> parseEndpoint(std::string_view text);
+
+/// Writes what `parseEndpoint` reads.
+std::string formatEndpoint(const Endpoint &endpoint);
+
+/// One header field. Names compare without regard to case.
+struct Header
+{
+    std::string name;
+    std::string value;
+};
+
+using Headers = std::vector<Header>;
+
+/// Value of the first field called `name`, or nothing.
+std::optional<std::string_view> findHeader(const Headers &headers, std::string_view name);
+
+/// Replaces all fields called `name` by one.
+void setHeader(Headers &headers, std::string_view name, std::string value);
+
+/// A request whose body is held whole; its size is bounded where it is received.
+struct HttpRequest
+{
+    std::string method;
+    std::string target;
+    Headers headers;
+    std::string body;
+};
+
+/// A piece of a response body.
+struct BodyChunk
+{
+    std::string data;
+    bool last = false;
+};
+
+/// Source of a response body. The reader pulls, so a slow consumer slows the producer down.
+class BodyReader
+{
+public:
+    virtual ~BodyReader() = default;
+
+    /// Calls `handler` once with the next chunk, or with an error when the body ended short.
+    /// One read at a time. Destroying the reader before the last chunk cancels the rest.
+    virtual void read(std::function<void(Outcome<BodyChunk>)> handler) = 0;
+};
+
+/// A reader over a string that is already complete.
+std::unique_ptr<BodyReader> makeStringBody(std::string text);
+
+/// Reads the rest of `body` into one string of at most `limit` bytes, then calls `handler`.
+/// Fails with Protocol when the body is longer, else with the error of the body.
+void readWholeBody(std::shared_ptr<BodyReader> body, std::size_t limit,
+                   std::function<void(Outcome<std::string>)> handler);
+
+/// A response whose body may still be on its way.
+struct HttpResponse
+{
+    unsigned status = 200;
+    Headers headers;
+    std::optional<std::uint64_t> contentLength; ///< Bytes; nothing when not known in advance.
+    std::shared_ptr<BodyReader> body;           ///< Never null.
+};
+
+/// A response with a complete body of type `contentType`.
+HttpResponse makeResponse(unsigned status, std::string body,
+                          std::string contentType = "application/json");
+
+using ResponseHandler = std::function<void(Outcome<HttpResponse>)>;
+
+/// A request on its way.
+class Exchange
+{
+public:
+    virtual ~Exchange() = default;
+
+    /// Gives the request up. The response handler may still be called once. Idempotent.
+    virtual void cancel() = 0;
+};
+
+/// Sends requests to other processes. Thread-safe.
+class HttpSender
+{
+public:
+    virtual ~HttpSender() = default;
+
+    /// Sends `request` to `to` and calls `handler` exactly once, never from inside this call.
+    /// `timeout` covers the time up to the response headers and, again, each wait for body data.
+    /// Errors: Unavailable when no byte of the request can have reached the other side;
+    /// ConnectionLost when the connection ended before the response; Timeout; Protocol.
+    virtual std::shared_ptr<Exchange> send(const Endpoint &to, HttpRequest request,
+                                           Duration timeout, ResponseHandler handler) = 0;
+};
+
+/// Serves requests that a transport received. Thread-safe.
+class RequestHandler
+{
+public:
+    virtual ~RequestHandler() = default;
+
+    /// Calls `respond` exactly once, from any thread. The transport cancels the returned exchange,
+    /// which may be null, when the client went away.
+    virtual std::shared_ptr<Exchange> handle(HttpRequest request, ResponseHandler respond) = 0;
+};
+
+/// A listener that passes requests to a `RequestHandler`. Destroying it closes all connections.
+class HttpListener
+{
+public:
+    virtual ~HttpListener() = default;
+
+    /// The bound address, with the port that the system chose where the settings gave 0.
+    virtual Endpoint localEndpoint() const = 0;
+
+    /// Accepts no further connection, closes idle ones, and calls `drained` once when every
+    /// request in progress has been answered.
+    virtual void drain(std::function<void()> drained) = 0;
+};
+
+} // namespace amaranthdale::core
--- /dev/null
+++ b/libs/core/include/amaranthdale/core/types.h
@@ -0,0 +1,94 @@
+// Identifiers and small value types that every library of the workspace shares.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace amaranthdale::core {
+
+namespace detail {
+
+// A string that can't be mixed up with a name of another kind.
+template<class Tag>
+struct Name
+{
+    std::string value;
+
+    Name() = default;
+    explicit Name(std::string text) : value(std::move(text)) { }
+
+    auto operator<=>(const Name &) const = default;
+    bool empty() const { return this->value.empty(); }
+};
+
+// A counter that can't be mixed up with a counter of another kind.
+template<class Tag>
+struct Number
+{
+    std::uint64_t value = 0;
+
+    Number() = default;
+    explicit Number(std::uint64_t number) : value(number) { }
+
+    auto operator<=>(const Number &) const = default;
+};
+
+} // namespace detail
+
+using ServiceName = detail::Name<struct ServiceTag>;
+using ServerName = detail::Name<struct ServerTag>;
+using InstanceName = detail::Name<struct InstanceTag>;
+using DataCentreName = detail::Name<struct DataCentreTag>;
+using BrandName = detail::Name<struct BrandTag>;
+using RequestId = detail::Name<struct RequestIdTag>;
+
+/// Position of a record on the log stream. Records start at 1; 0 is the empty state.
+using LogOffset = detail::Number<struct LogOffsetTag>;
+
+/// Offset of the record that made an instance the controller of a backend server; 0 means none.
+using Epoch = detail::Number<struct EpochTag>;
+
+/// Random number drawn at each start of a process, so that a restarted one isn't taken for its
+/// predecessor.
+using Incarnation = detail::Number<struct IncarnationTag>;
+
+/// Index of a hash slot of one service, below the service's `hashSlots`.
+using SlotIndex = std::uint32_t;
+
+/// Length of time. All intervals, timeouts and leases use it.
+using Duration = std::chrono::steady_clock::duration;
+
+/// Point on the monotonic clock of one process; never sent to another.
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// Fencing token of a grant: a backend server that checks fences refuses any lower one.
+struct Fence
+{
+    Epoch epoch;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const Fence &) const = default;
+};
+
+/// One run of one instance. Rights that the log gives are bound to it, not to the name alone.
+struct InstanceId
+{
+    InstanceName name;
+    Incarnation incarnation;
+
+    auto operator<=>(const InstanceId &) const = default;
+};
+
+} // namespace amaranthdale::core
+
+template<class Tag>
+struct std::hash<amaranthdale::core::detail::Name<Tag>>
+{
+    std::size_t operator()(const amaranthdale::core::detail::Name<Tag> &name) const
+    {
+        return std::hash<std::string>()(name.value);
+    }
+};
--- /dev/null
+++ b/libs/decisions/src/cluster_state.cpp
@@ -0,0 +1,271 @@
+// Replay of the log with the rule of conditional records.
+#include "amaranthdale/decisions/cluster_state.h"
+
+#include "amaranthdale/core/hash.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+Applied accepted()
+{
+    return Applied{true, {}};
+}
+
+Applied dropped(std::string reason)
+{
+    return Applied{false, std::move(reason)};
+}
+
+Applied droppedAsStale(const std::string &entity, core::LogOffset changedAt)
+{
+    return dropped(entity + " changed at offset " + std::to_string(changedAt.value)
+                   + "; read the newer state and decide again");
+}
+
+// Offset of the last change of a server's controller; 0 when it never had one.
+core::LogOffset controllerChangedAt(const ServerState &server)
+{
+    return server.controller ? core::LogOffset(server.controller->epoch.value) : core::LogOffset();
+}
+
+bool mayReplace(const Controller &present, const LogRecord &record, const ControllerRecord &body)
+{
+    if (record.id.proposer == present.instance || body.abandoned)
+        return true;
+    const bool named =
+            std::find(present.successors.begin(), present.successors.end(), body.controller)
+            != present.successors.end();
+    return named && record.id.proposer == body.controller;
+}
+
+} // namespace
+
+const SlotOwner &ServiceState::ownerOf(std::string_view key) const
+{
+    const auto hot = this->hotKeys.find(key);
+    if (hot != this->hotKeys.end())
+        return hot->second;
+    return this->slots[core::slotOf(key, this->document.hashSeed, this->document.hashSlots)];
+}
+
+Applied ClusterState::apply(core::LogOffset offset, const LogRecord &record)
+{
+    assert(offset > this->lastOffset);
+    const Applied result = std::visit(
+            [&](const auto &body) { return this->applyBody(offset, record, body); }, record.body);
+    this->lastOffset = offset;
+    return result;
+}
+
+void ClusterState::skip(core::LogOffset offset)
+{
+    assert(offset > this->lastOffset);
+    this->lastOffset = offset;
+}
+
+const ServiceState *ClusterState::findService(const core::ServiceName &name) const
+{
+    const auto found = this->serviceTable.find(name);
+    return found == this->serviceTable.end() ? nullptr : &found->second;
+}
+
+const ServerState *ClusterState::findServer(const core::ServerName &name) const
+{
+    const auto found = this->serverTable.find(name);
+    return found == this->serverTable.end() ? nullptr : &found->second;
+}
+
+bool ClusterState::isDrained(const core::DataCentreName &name) const
+{
+    const auto found = this->dataCentreTable.find(name);
+    return found != this->dataCentreTable.end() && found->second.drained;
+}
+
+bool ClusterState::acceptsSlots(const core::ServerName &name) const
+{
+    const ServerState *server = this->findServer(name);
+    return server && !server->removed && !server->spec.leaving
+            && !this->isDrained(server->spec.dataCentre);
+}
+
+void ClusterState::restore(core::LogOffset offset,
+                           std::map<core::ServiceName, ServiceState> services,
+                           std::map<core::ServerName, ServerState> servers,
+                           std::map<core::DataCentreName, DataCentreState> dataCentres)
+{
+    this->lastOffset = offset;
+    this->serviceTable = std::move(services);
+    this->serverTable = std::move(servers);
+    this->dataCentreTable = std::move(dataCentres);
+}
+
+std::string ClusterState::whyDocumentInvalid(const ServiceDocument &document) const
+{
+    if (document.hashSlots == 0)
+        return "hashSlots is 0; give at least 1";
+    std::set<core::ServerName> names;
+    for (const BackendServer &server : document.servers) {
+        if (!names.insert(server.name).second)
+            return "server " + server.name.value + " stands twice; remove one";
+        const ServerState *present = this->findServer(server.name);
+        if (present && present->service != document.service)
+            return "server " + server.name.value + " belongs to service " + present->service.value
+                    + "; choose another name";
+    }
+    const ServiceState *present = this->findService(document.service);
+    const bool slotsChange = present
+            && (present->document.hashSlots != document.hashSlots
+                || present->document.hashSeed != document.hashSeed);
+    if (slotsChange)
+        return "hashSlots and hashSeed are fixed; keep the values in force";
+    return {};
+}
+
+Applied ClusterState::applyBody(core::LogOffset offset, const LogRecord &record,
+                                const DocumentRecord &body)
+{
+    const ServiceState *present = this->findService(body.document.service);
+    if (present && present->version > record.basedOn)
+        return droppedAsStale("service " + body.document.service.value, present->version);
+    if (std::string reason = this->whyDocumentInvalid(body.document); !reason.empty())
+        return dropped(std::move(reason));
+
+    ServiceState &service = this->serviceTable[body.document.service];
+    service.document = body.document;
+    service.version = offset;
+    service.slots.resize(body.document.hashSlots);
+    this->declareServers(body.document);
+    this->forgetRemovedServers();
+    return accepted();
+}
+
+void ClusterState::declareServers(const ServiceDocument &document)
+{
+    for (auto &[name, server] : this->serverTable) {
+        if (server.service == document.service)
+            server.removed = true;
+    }
+    for (const BackendServer &spec : document.servers) {
+        ServerState &server = this->serverTable[spec.name];
+        server.service = document.service;
+        server.spec = spec;
+        server.removed = false;
+    }
+}
+
+void ClusterState::forgetRemovedServers()
+{
+    std::set<core::ServerName> owners;
+    for (const auto &[name, service] : this->serviceTable) {
+        for (const SlotOwner &owner : service.slots)
+            owners.insert(owner.server);
+        for (const auto &[key, owner] : service.hotKeys)
+            owners.insert(owner.server);
+    }
+    std::erase_if(this->serverTable, [&owners](const auto &entry) {
+        return entry.second.removed && !owners.contains(entry.first);
+    });
+}
+
+Applied ClusterState::applyBody(core::LogOffset offset, const LogRecord &record,
+                                const DataCentreRecord &body)
+{
+    const auto found = this->dataCentreTable.find(body.dataCentre);
+    if (found != this->dataCentreTable.end() && found->second.changedAt > record.basedOn)
+        return droppedAsStale("data centre " + body.dataCentre.value, found->second.changedAt);
+    this->dataCentreTable[body.dataCentre] = DataCentreState{body.drained, offset};
+    return accepted();
+}
+
+Applied ClusterState::applyBody(core::LogOffset offset, const LogRecord &record,
+                                const ControllerRecord &body)
+{
+    const auto found = this->serverTable.find(body.server);
+    if (found == this->serverTable.end())
+        return dropped("server " + body.server.value
+                       + " is not declared; publish its document first");
+    ServerState &server = found->second;
+    if (controllerChangedAt(server) > record.basedOn)
+        return droppedAsStale("controller of " + body.server.value, controllerChangedAt(server));
+    if (server.controller && !mayReplace(*server.controller, record, body))
+        return dropped(record.id.proposer.name.value + " is no successor of "
+                       + server.controller->instance.name.value + " for " + body.server.value
+                       + "; only a named successor may take over");
+    server.controller = Controller{body.controller, body.successors, core::Epoch(offset.value)};
+    return accepted();
+}
+
+std::string ClusterState::whyMoveInvalid(const ServiceState &service, const SlotRecord &record,
+                                         const SlotMove &move, core::LogOffset basedOn) const
+{
+    const ServerState *target = this->findServer(move.to);
+    if (!target || target->service != record.service)
+        return "server " + move.to.value + " is not declared in service " + record.service.value;
+    for (core::SlotIndex slot : move.slots) {
+        if (slot >= service.slots.size())
+            return "slot " + std::to_string(slot) + " does not exist";
+        const SlotOwner &owner = service.slots[slot];
+        if (owner.server != record.from)
+            return "slot " + std::to_string(slot) + " belongs to '" + owner.server.value + "'";
+        if (owner.changedAt > basedOn)
+            return "slot " + std::to_string(slot) + " changed at offset "
+                    + std::to_string(owner.changedAt.value);
+    }
+    for (const std::string &key : move.hotKeys) {
+        const SlotOwner &owner = service.ownerOf(key);
+        if (owner.server != record.from || record.from.empty())
+            return "hot key belongs to '" + owner.server.value + "'";
+        if (owner.changedAt > basedOn)
+            return "hot key changed at offset " + std::to_string(owner.changedAt.value);
+    }
+    return {};
+}
+
+Applied ClusterState::applyBody(core::LogOffset offset, const LogRecord &record,
+                                const SlotRecord &body)
+{
+    const auto found = this->serviceTable.find(body.service);
+    if (found == this->serviceTable.end())
+        return dropped("service " + body.service.value + " is not declared");
+    ServiceState &service = found->second;
+
+    if (body.from.empty() != (body.release == Release::Initial))
+        return dropped("only slots without an owner are assigned initially");
+    if (!body.from.empty()) {
+        const ServerState *source = this->findServer(body.from);
+        if (!source || !source->controller || source->controller->epoch != body.fromEpoch)
+            return dropped("epoch " + std::to_string(body.fromEpoch.value) + " of server "
+                           + body.from.value + " is not in force");
+    }
+    for (const SlotMove &move : body.moves) {
+        std::string reason = this->whyMoveInvalid(service, body, move, record.basedOn);
+        if (!reason.empty())
+            return dropped(std::move(reason));
+    }
+
+    for (const SlotMove &move : body.moves) {
+        for (core::SlotIndex slot : move.slots)
+            service.slots[slot] = SlotOwner{move.to, offset};
+        for (const std::string &key : move.hotKeys)
+            service.hotKeys[key] = SlotOwner{move.to, offset};
+    }
+    this->forgetRemovedServers();
+    return accepted();
+}
+
+Applied ClusterState::applyBody(core::LogOffset, const LogRecord &, const CrashRecord &)
+{
+    return accepted();
+}
+
+Applied ClusterState::applyBody(core::LogOffset, const LogRecord &, const SnapshotRecord &)
+{
+    return accepted();
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/tests/cluster_state_test.cpp
@@ -0,0 +1,136 @@
+// Tests of replay: each guards a way in which a race or a late append could make two owners.
+#include "amaranthdale/decisions/cluster_state.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthdale;
+using namespace amaranthdale::decisions;
+using core::LogOffset;
+
+namespace {
+
+const core::InstanceId first{core::InstanceName("i1"), core::Incarnation(11)};
+const core::InstanceId second{core::InstanceName("i2"), core::Incarnation(22)};
+const core::InstanceId third{core::InstanceName("i3"), core::Incarnation(33)};
+const core::ServerName serverA("a");
+const core::ServerName serverB("b");
+const core::ServiceName stockroom("stockroom");
+
+LogRecord recordOf(core::InstanceId proposer, std::uint64_t basedOn, RecordBody body)
+{
+    return LogRecord{RecordId{proposer, basedOn}, LogOffset(basedOn), std::move(body)};
+}
+
+ServiceDocument twoServers()
+{
+    ServiceDocument document;
+    document.service = stockroom;
+    document.hashSlots = 4;
+    for (const core::ServerName &name : {serverA, serverB}) {
+        BackendServer server;
+        server.name = name;
+        document.servers.push_back(server);
+    }
+    return document;
+}
+
+SlotRecord move(core::ServerName from, std::uint64_t epoch, core::ServerName to, Release release)
+{
+    return SlotRecord{stockroom, from, core::Epoch(epoch), release, {SlotMove{to, {0, 1}, {}}}};
+}
+
+// Offsets: 1 document, 2 controller of a is `first` with successor `second`, 3 slots 0 and 1 to a.
+ClusterState assignedState()
+{
+    ClusterState state;
+    REQUIRE(state.apply(LogOffset(1), recordOf(first, 0, DocumentRecord{twoServers()})).accepted);
+    REQUIRE(state.apply(LogOffset(2),
+                        recordOf(first, 1, ControllerRecord{serverA, first, {second}}))
+                    .accepted);
+    REQUIRE(state.apply(LogOffset(3), recordOf(first, 2, move({}, 0, serverA, Release::Initial)))
+                    .accepted);
+    return state;
+}
+
+const SlotOwner &slotZero(const ClusterState &state)
+{
+    return state.findService(stockroom)->slots[0];
+}
+
+} // namespace
+
+TEST_CASE("of two moves decided on the same state, only the first takes effect")
+{
+    ClusterState state = assignedState();
+    const LogRecord record = recordOf(first, 3, move(serverA, 2, serverB, Release::Acknowledged));
+    CHECK(state.apply(LogOffset(4), record).accepted);
+    CHECK(slotZero(state).server == serverB);
+    // The same append, sent again because its response was lost, changes nothing.
+    const Applied again = state.apply(LogOffset(5), record);
+    CHECK_FALSE(again.accepted);
+    CHECK(slotZero(state).changedAt == LogOffset(4));
+}
+
+TEST_CASE("a release by a controller that was replaced meanwhile is dropped")
+{
+    ClusterState state = assignedState();
+    REQUIRE(state.apply(LogOffset(4),
+                        recordOf(second, 3, ControllerRecord{serverA, second, {third}}))
+                    .accepted);
+    CHECK_FALSE(state.apply(LogOffset(5),
+                            recordOf(first, 3, move(serverA, 2, serverB, Release::LeaseExpired)))
+                        .accepted);
+    CHECK(slotZero(state).server == serverA);
+}
+
+TEST_CASE("only a named successor of this very incarnation, or the controller itself, replaces it")
+{
+    ClusterState state = assignedState();
+    CHECK_FALSE(
+            state.apply(LogOffset(4), recordOf(third, 3, ControllerRecord{serverA, third, {first}}))
+                    .accepted);
+    const core::InstanceId restarted{second.name, core::Incarnation(99)};
+    CHECK_FALSE(state.apply(LogOffset(5),
+                            recordOf(restarted, 4, ControllerRecord{serverA, restarted, {first}}))
+                        .accepted);
+    CHECK(state.apply(LogOffset(6), recordOf(first, 5, ControllerRecord{serverA, third, {second}}))
+                  .accepted);
+    CHECK(state.findServer(serverA)->controller->epoch == core::Epoch(6));
+}
+
+TEST_CASE("the loser of two conflicting documents is told and the winner stays in force")
+{
+    ClusterState state = assignedState();
+    ServiceDocument winner = twoServers();
+    winner.requestTimeout = std::chrono::seconds(1);
+    ServiceDocument loser = twoServers();
+    loser.requestTimeout = std::chrono::seconds(5);
+    CHECK(state.apply(LogOffset(4), recordOf(first, 3, DocumentRecord{winner})).accepted);
+    const Applied result = state.apply(LogOffset(5), recordOf(second, 3, DocumentRecord{loser}));
+    CHECK_FALSE(result.accepted);
+    CHECK(result.reason.find("offset 4") != std::string::npos);
+    CHECK(state.findService(stockroom)->document == winner);
+}
+
+TEST_CASE("a removed server keeps its slots, and its place, until they have moved")
+{
+    ClusterState state = assignedState();
+    ServiceDocument onlyB = twoServers();
+    onlyB.servers.erase(onlyB.servers.begin());
+    REQUIRE(state.apply(LogOffset(4), recordOf(first, 3, DocumentRecord{onlyB})).accepted);
+    REQUIRE(state.findServer(serverA));
+    CHECK(state.findServer(serverA)->removed);
+    CHECK_FALSE(state.acceptsSlots(serverA));
+    REQUIRE(state.apply(LogOffset(5),
+                        recordOf(first, 4, move(serverA, 2, serverB, Release::Acknowledged)))
+                    .accepted);
+    CHECK(state.findServer(serverA) == nullptr);
+}
+
+TEST_CASE("a document can't change the number of slots, which would give keys other owners")
+{
+    ClusterState state = assignedState();
+    ServiceDocument changed = twoServers();
+    changed.hashSlots = 8;
+    CHECK_FALSE(state.apply(LogOffset(4), recordOf(first, 3, DocumentRecord{changed})).accepted);
+}
--- /dev/null
+++ b/libs/tables/src/ordered_mutex.cpp
@@ -0,0 +1,49 @@
+// The lock order check.
+#include "amaranthdale/tables/ordered_mutex.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+namespace amaranthdale::tables {
+
+namespace {
+
+#ifndef NDEBUG
+// Ranks that this thread holds, in the order in which it took them.
+thread_local std::vector<LockRank> heldRanks;
+
+void checkOrder(LockRank wanted)
+{
+    if (heldRanks.empty() || heldRanks.back() < wanted)
+        return;
+    std::fprintf(
+            stderr,
+            "event=lockOrderBroken held=%d wanted=%d remedy=\"take the locks by rising rank\"\n",
+            static_cast<int>(heldRanks.back()), static_cast<int>(wanted));
+    std::abort();
+}
+#endif
+
+} // namespace
+
+void OrderedMutex::lock()
+{
+#ifndef NDEBUG
+    checkOrder(this->rank);
+#endif
+    this->mutex.lock();
+#ifndef NDEBUG
+    heldRanks.push_back(this->rank);
+#endif
+}
+
+void OrderedMutex::unlock()
+{
+#ifndef NDEBUG
+    heldRanks.pop_back();
+#endif
+    this->mutex.unlock();
+}
+
+} // namespace amaranthdale::tables
--- /dev/null
+++ b/libs/tables/tests/guarded_test.cpp
@@ -0,0 +1,43 @@
+// Tests of the lock order check.
+#include "amaranthdale/tables/guarded.h"
+
+#include <doctest/doctest.h>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+
+using namespace amaranthdale::tables;
+
+namespace {
+
+// Runs `function` in a child process and tells whether it aborted.
+template<class Function>
+bool aborts(Function &&function)
+{
+    const pid_t child = fork();
+    if (child == 0) {
+        std::signal(SIGABRT, SIG_DFL); // doctest's handler would print the abort as a failure.
+        std::freopen("/dev/null", "w", stderr);
+        function();
+        _exit(0);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    return WIFSIGNALED(status) && WTERMSIG(status) == SIGABRT;
+}
+
+} // namespace
+
+TEST_CASE("locks taken by rising rank pass; any other order aborts before it can deadlock")
+{
+    Guarded<int> membership(LockRank::Membership, 1);
+    Guarded<int> ownership(LockRank::Ownership, 2);
+    const int sum = membership.with(
+            [&](int first) { return ownership.with([&](int second) { return first + second; }); });
+    CHECK(sum == 3);
+    CHECK(aborts([&] { ownership.with([&](int) { membership.with([](int) {}); }); }));
+    CHECK(aborts([&] { ownership.with([&](int) { ownership.with([](int) {}); }); }));
+}
