Add the HTTP/1.1 listener and client over loopback sockets

Cause: other libraries wait for a transport behind core/message.h. Change: libs/http with Beast's parsers over Asio sockets, one strand for each connection, and libs/net with what both transports share: sockets on strands, movable deadlines, the accept loop. Ruled out: Beast's tcp_stream, whose timer is reset on every operation.

--- /dev/null
+++ b/libs/http/src/connection_pool.cpp
@@ -0,0 +1,181 @@
+// Assignment of requests to connections within the bound of each endpoint.
+#include "connection_pool.h"
+
+#include "client_connection.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace amaranthdale::http {
+
+void ConnectionPool::submit(const std::shared_ptr<ClientExchange> &exchange)
+{
+    std::shared_ptr<ClientConnection> connection;
+    bool refused = false;
+    {
+        std::lock_guard lock(this->mutex);
+        refused = this->closed;
+        if (!refused) {
+            EndpointState &state = this->endpoints[exchange->to];
+            connection = this->takeConnection(state, exchange->to);
+            exchange->connection = connection;
+            if (!connection)
+                this->enqueue(state, exchange);
+        }
+    }
+    if (refused)
+        this->failLater(exchange, "the client is shut down; send before it ends");
+    else if (connection)
+        connection->start(exchange);
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::takeConnection(EndpointState &state,
+                                                                 const core::Endpoint &endpoint)
+{
+    if (!state.idle.empty()) {
+        auto connection = std::move(state.idle.back());
+        state.idle.pop_back();
+        return connection;
+    }
+    if (state.open >= this->limits.connectionsPerEndpoint)
+        return nullptr;
+    ++state.open;
+    auto connection = std::make_shared<ClientConnection>(this->shared_from_this(), endpoint);
+    this->connections.emplace(connection.get(), connection);
+    return connection;
+}
+
+void ConnectionPool::enqueue(EndpointState &state, const std::shared_ptr<ClientExchange> &exchange)
+{
+    state.waiting.push_back(exchange);
+    exchange->waitTimer.emplace(this->context, exchange->dueAt);
+    exchange->waitTimer->async_wait([weak = this->weak_from_this(),
+                                     exchange](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->removeWaiting(exchange))
+            return;
+        exchange->finish(core::Error{core::ErrorKind::Unavailable,
+                                     "no connection to " + core::formatEndpoint(exchange->to)
+                                             + " became free in time; allow more connections"});
+    });
+}
+
+std::shared_ptr<ClientExchange> ConnectionPool::takeWaiting(EndpointState &state)
+{
+    if (state.waiting.empty())
+        return nullptr;
+    auto exchange = std::move(state.waiting.front());
+    state.waiting.pop_front();
+    exchange->waitTimer.reset();
+    return exchange;
+}
+
+std::shared_ptr<ClientExchange> ConnectionPool::release(
+        const std::shared_ptr<ClientConnection> &connection)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->closed)
+        return nullptr;
+    EndpointState &state = this->endpoints[connection->endpoint()];
+    auto exchange = this->takeWaiting(state);
+    if (exchange)
+        exchange->connection = connection;
+    else
+        state.idle.push_back(connection);
+    return exchange;
+}
+
+bool ConnectionPool::removeIdle(const std::shared_ptr<ClientConnection> &connection)
+{
+    std::lock_guard lock(this->mutex);
+    EndpointState &state = this->endpoints[connection->endpoint()];
+    if (std::erase(state.idle, connection) == 0)
+        return this->closed;
+    this->forget(state, connection.get());
+    return true;
+}
+
+void ConnectionPool::removeBusy(const std::shared_ptr<ClientConnection> &connection)
+{
+    std::shared_ptr<ClientExchange> exchange;
+    std::shared_ptr<ClientConnection> replacement;
+    {
+        std::lock_guard lock(this->mutex);
+        EndpointState &state = this->endpoints[connection->endpoint()];
+        this->forget(state, connection.get());
+        exchange = this->closed ? nullptr : this->takeWaiting(state);
+        if (exchange) {
+            replacement = this->takeConnection(state, exchange->to);
+            exchange->connection = replacement;
+        }
+    }
+    if (exchange)
+        replacement->start(exchange);
+}
+
+void ConnectionPool::forget(EndpointState &state, const ClientConnection *connection)
+{
+    if (this->connections.erase(connection) > 0)
+        --state.open;
+}
+
+bool ConnectionPool::removeWaiting(const std::shared_ptr<ClientExchange> &exchange)
+{
+    std::lock_guard lock(this->mutex);
+    if (std::erase(this->endpoints[exchange->to].waiting, exchange) == 0)
+        return false;
+    exchange->waitTimer.reset();
+    return true;
+}
+
+void ConnectionPool::cancel(const std::shared_ptr<ClientExchange> &exchange)
+{
+    if (this->removeWaiting(exchange))
+        return this->failLater(exchange, "the request was cancelled before it was sent");
+    std::shared_ptr<ClientConnection> connection;
+    {
+        std::lock_guard lock(this->mutex);
+        connection = exchange->connection.lock();
+    }
+    if (connection)
+        connection->cancel(exchange);
+}
+
+void ConnectionPool::closeAll()
+{
+    std::vector<std::shared_ptr<ClientConnection>> open;
+    std::vector<std::shared_ptr<ClientExchange>> unsent;
+    {
+        std::lock_guard lock(this->mutex);
+        this->closed = true;
+        for (const auto &[key, weak] : this->connections) {
+            if (auto connection = weak.lock())
+                open.push_back(std::move(connection));
+        }
+        for (auto &[endpoint, state] : this->endpoints) {
+            state.idle.clear();
+            while (auto exchange = this->takeWaiting(state))
+                unsent.push_back(std::move(exchange));
+        }
+    }
+    for (const auto &exchange : unsent)
+        this->failLater(exchange, "the client was shut down before the request was sent");
+    for (const auto &connection : open)
+        connection->close();
+}
+
+void ConnectionPool::failLater(const std::shared_ptr<ClientExchange> &exchange, std::string message)
+{
+    boost::asio::post(this->context, [exchange, message = std::move(message)] {
+        exchange->finish(core::Error{core::ErrorKind::Unavailable, message});
+    });
+}
+
+void ClientExchange::cancel()
+{
+    if (const auto owner = this->pool.lock())
+        owner->cancel(this->shared_from_this());
+}
+
+} // namespace amaranthdale::http
--- /dev/null
+++ b/libs/net/src/acceptor.cpp
@@ -0,0 +1,132 @@
+// The accept loop and the set of open connections.
+#include "amaranthdale/net/acceptor.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+
+namespace amaranthdale::net {
+
+namespace {
+
+// Pause after a failed accept. The usual reason is a lack of file descriptors, which lasts until
+// connections close; an immediate retry would only burn a core.
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+bool ConnectionSet::add(const std::shared_ptr<Connection> &connection)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->ending)
+        return false;
+    this->connections.emplace(connection.get(), connection);
+    return true;
+}
+
+void ConnectionSet::remove(const Connection *connection)
+{
+    std::function<void()> callback;
+    {
+        std::lock_guard lock(this->mutex);
+        this->connections.erase(connection);
+        if (this->connections.empty())
+            callback = std::exchange(this->whenEmpty, nullptr);
+    }
+    if (callback)
+        callback();
+}
+
+void ConnectionSet::closeAll()
+{
+    for (const auto &connection : this->current())
+        connection->close();
+}
+
+void ConnectionSet::drainAll(std::function<void()> drained)
+{
+    const auto open = this->current();
+    bool empty = false;
+    {
+        std::lock_guard lock(this->mutex);
+        empty = this->connections.empty();
+        if (!empty)
+            this->whenEmpty = std::move(drained);
+    }
+    if (empty)
+        return drained();
+    for (const auto &connection : open)
+        connection->drain();
+}
+
+std::vector<std::shared_ptr<Connection>> ConnectionSet::current()
+{
+    std::lock_guard lock(this->mutex);
+    this->ending = true;
+    std::vector<std::shared_ptr<Connection>> open;
+    open.reserve(this->connections.size());
+    for (const auto &[key, weak] : this->connections) {
+        if (auto connection = weak.lock())
+            open.push_back(std::move(connection));
+    }
+    return open;
+}
+
+Acceptor::Acceptor(boost::asio::io_context &ioContext, SocketHandler socketHandler)
+    : context(ioContext), strand(boost::asio::make_strand(ioContext)), acceptor(this->strand),
+      retryTimer(this->strand), handler(std::move(socketHandler))
+{ }
+
+core::Result<core::Endpoint> Acceptor::listen(const core::Endpoint &address)
+{
+    BOOST_LEAF_AUTO(endpoint, toTcpEndpoint(address));
+    ErrorCode error;
+    this->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(endpoint, error);
+    if (!error)
+        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return core::fail(core::ErrorKind::Unavailable,
+                          "can't listen on " + core::formatEndpoint(address) + ": "
+                                  + error.message() + "; free the port or choose another");
+    boost::asio::post(this->strand, [self = this->shared_from_this()] { self->acceptNext(); });
+    return fromTcpEndpoint(this->acceptor.local_endpoint());
+}
+
+void Acceptor::stop()
+{
+    boost::asio::post(this->strand, [self = this->shared_from_this()] {
+        ErrorCode ignored;
+        self->acceptor.close(ignored);
+        self->retryTimer.cancel();
+    });
+}
+
+void Acceptor::acceptNext()
+{
+    if (!this->acceptor.is_open())
+        return;
+    this->acceptor.async_accept(
+            boost::asio::make_strand(this->context),
+            [self = this->shared_from_this()](const ErrorCode &error, Socket socket) {
+                self->onAccepted(error, std::move(socket));
+            });
+}
+
+void Acceptor::onAccepted(const ErrorCode &error, Socket socket)
+{
+    if (!error) {
+        tuneSocket(socket);
+        this->handler(std::move(socket));
+        return this->acceptNext();
+    }
+    if (!this->acceptor.is_open())
+        return;
+    this->retryTimer.expires_after(acceptRetryDelay);
+    this->retryTimer.async_wait(
+            [self = this->shared_from_this()](const ErrorCode &) { self->acceptNext(); });
+}
+
+} // namespace amaranthdale::net
--- /dev/null
+++ b/libs/net/src/socket.cpp
@@ -0,0 +1,55 @@
+// Socket options and address conversion.
+#include "amaranthdale/net/socket.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <netinet/tcp.h>
+
+namespace amaranthdale::net {
+
+namespace {
+
+// Unacknowledged data ends the connection after this. Retransmission would otherwise go on for
+// about 15 minutes, and a healed network would be used only after the last back-off.
+constexpr unsigned unacknowledgedMilliseconds = 3000;
+
+using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
+core::Result<Tcp::endpoint> toTcpEndpoint(const core::Endpoint &endpoint)
+{
+    ErrorCode error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    if (error)
+        return core::fail(core::ErrorKind::InvalidArgument,
+                          "'" + endpoint.address + "' is no IP address; give one in text form");
+    return Tcp::endpoint(address, endpoint.port);
+}
+
+core::Endpoint fromTcpEndpoint(const Tcp::endpoint &endpoint)
+{
+    return core::Endpoint{endpoint.address().to_string(), endpoint.port()};
+}
+
+void tuneSocket(Socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    socket.set_option(UserTimeout(unacknowledgedMilliseconds), ignored);
+}
+
+void closeSocket(Socket &socket)
+{
+    ErrorCode ignored;
+    socket.close(ignored);
+}
+
+void resetSocket(Socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace amaranthdale::net
