Implement the decisions about requests

Cause: the headers had no sources yet. An id issued at an offset that the controller has not replayed is refused as not run: otherwise a replaced controller could run an id issued after its successor's record, and the successor, whose memory starts at that record, would run it again. Ruled out: pruning issued ids by age alone. Forgetting offset x makes every id issued at x unknown, so x is only forgotten once a newer offset has been replayed for the whole retention time.

--- a/libs/decisions/include/amaranthdale/decisions/fair_queue.h
+++ b/libs/decisions/include/amaranthdale/decisions/fair_queue.h
@@ -36,7 +36,7 @@
     FairQueue(const std::vector<Brand> &brands, std::size_t maxLength);
 
     QueueOffer push(QueueEntry entry);
-    /// Next entry to send, or nothing. Call `takeExpired` first.
+    /// Next entry to send, or nothing. Its deadline may have passed.
     std::optional<QueueEntry> pop();
     /// Removes the entry of `ticket`. False when there is none.
     bool remove(Ticket ticket);
--- a/libs/decisions/include/amaranthdale/decisions/request.h
+++ b/libs/decisions/include/amaranthdale/decisions/request.h
@@ -33,6 +33,7 @@
     std::uint64_t keyHash = 0;
     core::BrandName brand;
     bool idempotent = false;
+    bool anyServer = false; ///< Idempotent and of a service without keys: the slot has no meaning.
     std::uint64_t fingerprint = 0; ///< XXH3 of service, method, target and body.
     core::TimePoint deadline;
 };
--- a/libs/decisions/include/amaranthdale/decisions/request_ledger.h
+++ b/libs/decisions/include/amaranthdale/decisions/request_ledger.h
@@ -96,8 +96,8 @@
     LedgerAnswer begin(const RequestInfo &request, Ticket owner, core::TimePoint now);
 
     /// Ends a request that was begun. A response that is too large is remembered by status only.
-    void complete(const RequestInfo &request, RunOutcome outcome, const StoredResponse *response,
-                  core::TimePoint now);
+    void complete(const RequestInfo &request, RunOutcome outcome,
+                  std::shared_ptr<const StoredResponse> response, core::TimePoint now);
 
     /// Forgets ended ids that are past their time, and raises `knownSince` where that would
     /// otherwise make an issued id look new.
@@ -110,6 +110,10 @@
     /// changed, when the slot wasn't started or the entries don't fit.
     bool importSlot(const SlotMemory &memory, core::TimePoint now);
 
+    /// Much of the memory is held by issued ids that could be forgotten if the log advanced: ids
+    /// issued now carry the same offset. The caller should then append any record.
+    bool needsNewOffset(core::TimePoint now) const;
+
     std::size_t size() const { return this->entryCount; }
     std::size_t storedBytes() const { return this->storedTotal; }
     /// Oldest offset from which issued ids of `slot` are known; the slot must be owned.
@@ -156,7 +160,9 @@
     void removeEntry(Slot &slot, const std::string &key);
     void expireIssued(core::TimePoint now);
     void expireCallers(core::TimePoint now);
-    core::LogOffset settledOffset(core::TimePoint now);
+    bool mayForget(const Expiry &due, const Entry &entry, core::TimePoint now) const;
+    Entry *findEnded(const Expiry &due);
+    core::LogOffset settledOffset(core::TimePoint now) const;
 
     LedgerOptions options;
     std::unordered_map<core::SlotIndex, Slot> slots;
--- a/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
+++ b/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
@@ -102,7 +102,9 @@
     Arrival arrive(const RequestInfo &request, core::TimePoint now);
     /// The request of `ticket`, which was sent, ended. Each sent ticket is completed once.
     Actions completed(Ticket ticket, const Completion &completion, core::TimePoint now);
-    /// The caller of `ticket` went away.
+    /// The caller of `ticket` went away. Queued work is dropped and an idempotent request in flight
+    /// is cancelled. A non-idempotent one goes on, so that a resend gets its response, and so does
+    /// one with others attached: the sender still has to carry out its actions.
     Actions callerGone(Ticket ticket, core::TimePoint now);
     /// Handles deadlines and stragglers; call it every few milliseconds while there is work.
     Actions tick(core::TimePoint now);
@@ -132,6 +134,8 @@
     /// The slot moved away. Its queued requests are refused; what is in flight still completes.
     Actions dropSlot(core::SlotIndex slot, core::TimePoint now);
 
+    /// See `RequestLedger::needsNewOffset`.
+    bool needsNewOffset(core::TimePoint now) const { return this->ledger.needsNewOffset(now); }
     DispatcherLoad load(core::TimePoint now) const;
     std::string limitReason(core::TimePoint now) const { return this->limit->reason(now); }
 
--- /dev/null
+++ b/libs/decisions/src/fair_queue.cpp
@@ -0,0 +1,159 @@
+// Deficit round robin by brand.
+#include "amaranthdale/decisions/fair_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace amaranthdale::decisions {
+
+FairQueue::FairQueue(const std::vector<Brand> &brands, std::size_t maxLength) : capacity(maxLength)
+{
+    for (const Brand &brand : brands)
+        this->weights[brand.name] = std::max(brand.weight, 1U);
+}
+
+QueueOffer FairQueue::push(QueueEntry entry)
+{
+    QueueOffer offer;
+    if (this->length >= this->capacity) {
+        const auto crowded = this->longest();
+        if (crowded == this->queues.end())
+            return offer;
+        const auto own = this->queues.find(entry.brand);
+        const std::size_t ownLength = own == this->queues.end() ? 0 : own->second.entries.size();
+        // Compares (own + 1) / own weight with crowded / its weight without division.
+        const bool ownIsLonger = (ownLength + 1) * crowded->second.weight
+                >= crowded->second.entries.size() * this->weightOf(entry.brand);
+        if (ownIsLonger)
+            return offer;
+        offer.displaced = crowded->second.entries.back().ticket;
+        crowded->second.entries.pop_back();
+        --this->length;
+        this->dropIfIdle(core::BrandName(crowded->first));
+    }
+    this->queueOf(entry.brand).entries.push_back(std::move(entry));
+    ++this->length;
+    offer.accepted = true;
+    return offer;
+}
+
+std::optional<QueueEntry> FairQueue::pop()
+{
+    if (this->turns.empty())
+        return std::nullopt;
+    const core::BrandName brand = this->turns.front();
+    BrandQueue &queue = this->queues.at(brand);
+    if (queue.deficit == 0)
+        queue.deficit = queue.weight;
+    QueueEntry entry = std::move(queue.entries.front());
+    queue.entries.pop_front();
+    --queue.deficit;
+    --this->length;
+    if (queue.deficit == 0)
+        this->turns.splice(this->turns.end(), this->turns, this->turns.begin());
+    this->dropIfIdle(brand);
+    return entry;
+}
+
+bool FairQueue::remove(Ticket ticket)
+{
+    for (auto &[brand, queue] : this->queues) {
+        const auto found =
+                std::find_if(queue.entries.begin(), queue.entries.end(),
+                             [&](const QueueEntry &entry) { return entry.ticket == ticket; });
+        if (found == queue.entries.end())
+            continue;
+        queue.entries.erase(found);
+        --this->length;
+        this->dropIfIdle(core::BrandName(brand));
+        return true;
+    }
+    return false;
+}
+
+std::vector<QueueEntry> FairQueue::takeExpired(core::TimePoint now)
+{
+    std::vector<QueueEntry> expired;
+    for (auto position = this->queues.begin(); position != this->queues.end();) {
+        const core::BrandName brand = position->first;
+        std::deque<QueueEntry> &entries = position->second.entries;
+        ++position;
+        const auto kept =
+                std::stable_partition(entries.begin(), entries.end(), [&](const QueueEntry &entry) {
+                    return entry.deadline > now;
+                });
+        std::move(kept, entries.end(), std::back_inserter(expired));
+        this->length -= static_cast<std::size_t>(entries.end() - kept);
+        entries.erase(kept, entries.end());
+        this->dropIfIdle(brand);
+    }
+    return expired;
+}
+
+std::vector<QueueEntry> FairQueue::takeAll()
+{
+    std::vector<QueueEntry> all;
+    for (auto &[brand, queue] : this->queues)
+        std::move(queue.entries.begin(), queue.entries.end(), std::back_inserter(all));
+    this->queues.clear();
+    this->turns.clear();
+    this->length = 0;
+    return all;
+}
+
+core::Duration FairQueue::expectedWait(const core::BrandName &brand, core::Duration serviceTime,
+                                       unsigned limit) const
+{
+    const auto own = this->queues.find(brand);
+    const std::size_t ownLength = own == this->queues.end() ? 0 : own->second.entries.size();
+    const unsigned ownWeight = this->weightOf(brand);
+    std::size_t ahead = ownLength;
+    for (const auto &[other, queue] : this->queues) {
+        if (other == brand)
+            continue;
+        // While this brand's queue empties, each other brand gets turns in proportion to its
+        // weight.
+        const std::size_t turnsOfOther =
+                ((ownLength + 1) * queue.weight + ownWeight - 1) / ownWeight;
+        ahead += std::min(queue.entries.size(), turnsOfOther);
+    }
+    const auto requests = static_cast<core::Duration::rep>(ahead + 1);
+    return serviceTime * requests / static_cast<core::Duration::rep>(std::max(limit, 1U));
+}
+
+FairQueue::BrandQueue &FairQueue::queueOf(const core::BrandName &brand)
+{
+    const auto [position, inserted] = this->queues.try_emplace(brand);
+    if (inserted) {
+        position->second.weight = this->weightOf(brand);
+        this->turns.push_back(brand);
+    }
+    return position->second;
+}
+
+unsigned FairQueue::weightOf(const core::BrandName &brand) const
+{
+    const auto found = this->weights.find(brand);
+    return found == this->weights.end() ? 1 : found->second;
+}
+
+std::map<core::BrandName, FairQueue::BrandQueue>::iterator FairQueue::longest()
+{
+    return std::max_element(this->queues.begin(), this->queues.end(),
+                            [](const auto &one, const auto &other) {
+                                return one.second.entries.size() * other.second.weight
+                                        < other.second.entries.size() * one.second.weight;
+                            });
+}
+
+void FairQueue::dropIfIdle(const core::BrandName &brand)
+{
+    const auto found = this->queues.find(brand);
+    assert(found != this->queues.end());
+    if (!found->second.entries.empty())
+        return;
+    this->queues.erase(found);
+    this->turns.remove(brand);
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/src/refusals.cpp
@@ -0,0 +1,121 @@
+// Texts and waiting times of a dispatcher's refusals.
+#include "refusals.h"
+
+#include <algorithm>
+
+namespace amaranthdale::decisions::detail {
+
+namespace {
+
+using core::ErrorKind;
+using std::chrono::milliseconds;
+
+// Time in which an instance usually learns of a newer controller or log offset.
+constexpr core::Duration learningTime = milliseconds(20);
+// A planned move of a slot takes about one append and two grants.
+constexpr core::Duration movingTime = milliseconds(100);
+constexpr core::Duration minWait = milliseconds(1);
+
+} // namespace
+
+Refusal refusalFor(LedgerVerdict verdict)
+{
+    switch (verdict) {
+    case LedgerVerdict::OtherRequest:
+        return {RunOutcome::Unknown,
+                ErrorKind::Conflict,
+                "the request id was used for another request; send this one with an id of its own",
+                {}};
+    case LedgerVerdict::FromFuture:
+        return {RunOutcome::NotRun, ErrorKind::Unavailable,
+                "the request id is newer than this instance's state; send it again", learningTime};
+    case LedgerVerdict::NotOwned:
+        return {RunOutcome::NotRun, ErrorKind::Fenced,
+                "another instance controls the hash slot; send the request there", learningTime};
+    default:
+        return {RunOutcome::Unknown,
+                ErrorKind::Timeout,
+                "whether the request ran can't be known any more; check its effect before sending "
+                "it with a new id",
+                {}};
+    }
+}
+
+Refusal refusedAsLedgerFull(core::Duration wait)
+{
+    return {RunOutcome::NotRun, ErrorKind::Overloaded,
+            "too many recent request ids to remember another; send it again later",
+            std::max(wait, learningTime)};
+}
+
+Refusal refusedWithoutAuthority()
+{
+    return {RunOutcome::NotRun, ErrorKind::Fenced,
+            "this instance has no authority over the backend server; ask its present controller",
+            learningTime};
+}
+
+Refusal refusedAsDraining()
+{
+    return {RunOutcome::NotRun,
+            ErrorKind::Unavailable,
+            "the backend server is being drained; use another one",
+            {}};
+}
+
+Refusal refusedAsMoving()
+{
+    return {RunOutcome::NotRun, ErrorKind::Unavailable,
+            "the hash slot is moving to another backend server; send it again", movingTime};
+}
+
+Refusal refusedAsExpired()
+{
+    return {RunOutcome::NotRun,
+            ErrorKind::Timeout,
+            "the deadline passed before the request could be sent; allow more time",
+            {}};
+}
+
+Refusal refusedAsBanned(core::Duration remaining)
+{
+    return {RunOutcome::NotRun, ErrorKind::Conflict,
+            "two backend servers crashed while they ran this request; correct the request",
+            remaining};
+}
+
+Refusal refusedAsOverloaded(core::Duration wait)
+{
+    return {RunOutcome::NotRun, ErrorKind::Overloaded,
+            "the backend server is busy; send it again after the time given",
+            std::max(wait, minWait)};
+}
+
+Refusal refusedAsCallerGone()
+{
+    return {RunOutcome::NotRun,
+            ErrorKind::Unavailable,
+            "the caller went away before the request was sent; send it again",
+            {}};
+}
+
+Refusal refusedWhileInFlight()
+{
+    return {RunOutcome::Unknown,
+            ErrorKind::Timeout,
+            "the first request with this id is still running; send the same id again later",
+            {}};
+}
+
+Refusal refusedAfterSending(RunOutcome outcome, ErrorKind kind, core::Duration wait)
+{
+    if (outcome == RunOutcome::NotRun)
+        return {outcome, kind, "the backend server did not run the request; send it again",
+                std::max(wait, minWait)};
+    return {outcome,
+            kind,
+            "the backend server's response was lost; send the same id again to learn more",
+            {}};
+}
+
+} // namespace amaranthdale::decisions::detail
--- /dev/null
+++ b/libs/decisions/src/server_dispatcher.cpp
@@ -0,0 +1,237 @@
+// Arrival, sending and completion of requests at one backend server.
+#include "amaranthdale/decisions/server_dispatcher.h"
+
+#include "refusals.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+// Until a response has been seen.
+constexpr core::Duration assumedServiceTime = std::chrono::milliseconds(5);
+constexpr int serviceTimeWeight = 16;
+
+} // namespace
+
+ServerDispatcher::ServerDispatcher(DispatcherOptions dispatcherOptions,
+                                   std::unique_ptr<ConcurrencyLimit> concurrencyLimit,
+                                   SharedCrashFilter sharedCrashFilter)
+    : options(std::move(dispatcherOptions)), limit(std::move(concurrencyLimit)),
+      crashFilter(std::move(sharedCrashFilter)),
+      queue(this->options.brands, this->options.maxQueued), ledger(this->options.ledger),
+      serviceTime(assumedServiceTime)
+{ }
+
+Arrival ServerDispatcher::arrive(const RequestInfo &request, core::TimePoint now)
+{
+    Arrival arrival;
+    arrival.ticket = ++this->lastTicket;
+    // What is known of the id comes first: "not run" must never be said of one that was sent.
+    if (!request.idempotent) {
+        const LedgerAnswer answer = this->ledger.find(request, now);
+        if (answer.verdict != LedgerVerdict::New) {
+            this->actOnVerdict(arrival.ticket, request, answer, now, arrival.actions);
+            return arrival;
+        }
+    }
+    if (std::optional<Refusal> refusal = this->whyNotAdmitted(request, now)) {
+        arrival.actions.emplace_back(RefuseRequest{arrival.ticket, std::move(*refusal)});
+        return arrival;
+    }
+    this->enqueue(arrival.ticket, request, now, arrival.actions);
+    this->sendQueued(now, arrival.actions);
+    return arrival;
+}
+
+void ServerDispatcher::actOnVerdict(Ticket ticket, const RequestInfo &request,
+                                    const LedgerAnswer &answer, core::TimePoint now,
+                                    Actions &actions)
+{
+    switch (answer.verdict) {
+    case LedgerVerdict::InFlight:
+        this->attach(ticket, request, answer.owner, actions);
+        return;
+    case LedgerVerdict::Answered:
+        actions.emplace_back(GiveResponse{ticket, answer.response});
+        return;
+    case LedgerVerdict::Full:
+        actions.emplace_back(RefuseRequest{
+                ticket, detail::refusedAsLedgerFull(this->expectedWait(request, now))});
+        return;
+    case LedgerVerdict::New:
+    case LedgerVerdict::Unknown:
+    case LedgerVerdict::OtherRequest:
+    case LedgerVerdict::FromFuture:
+    case LedgerVerdict::NotOwned:
+        actions.emplace_back(RefuseRequest{ticket, detail::refusalFor(answer.verdict)});
+        return;
+    }
+}
+
+std::optional<Refusal> ServerDispatcher::whyNotAdmitted(const RequestInfo &request,
+                                                        core::TimePoint now) const
+{
+    if (!this->authority)
+        return detail::refusedWithoutAuthority();
+    if (!request.anyServer && !this->ledger.ownsSlot(request.slot))
+        return detail::refusalFor(LedgerVerdict::NotOwned);
+    if (this->draining)
+        return detail::refusedAsDraining();
+    if (!request.anyServer && this->pausedSlots.contains(request.slot))
+        return detail::refusedAsMoving();
+    if (request.deadline <= now)
+        return detail::refusedAsExpired();
+    if (const auto remaining = this->crashFilter->with(
+                [&](const CrashFilter &filter) { return filter.banned(request.fingerprint, now); }))
+        return detail::refusedAsBanned(*remaining);
+    const core::Duration wait = this->expectedWait(request, now);
+    if (now + wait >= request.deadline)
+        return detail::refusedAsOverloaded(wait);
+    return std::nullopt;
+}
+
+core::Duration ServerDispatcher::expectedWait(const RequestInfo &request, core::TimePoint now) const
+{
+    const unsigned allowed = this->limit->current(now);
+    if (this->queue.size() == 0 && this->inFlight < allowed)
+        return {};
+    return this->queue.expectedWait(request.brand, this->serviceTime, allowed);
+}
+
+void ServerDispatcher::enqueue(Ticket ticket, const RequestInfo &request, core::TimePoint now,
+                               Actions &actions)
+{
+    const QueueOffer offer = this->queue.push(QueueEntry{ticket, request.brand, request.deadline});
+    const Refusal overloaded = detail::refusedAsOverloaded(this->expectedWait(request, now));
+    if (offer.displaced)
+        this->refuseNotSent(*offer.displaced, overloaded, now, actions);
+    if (!offer.accepted) {
+        actions.emplace_back(RefuseRequest{ticket, overloaded});
+        return;
+    }
+    if (!request.idempotent)
+        this->ledger.begin(request, ticket, now);
+    this->pending[ticket].request = request;
+}
+
+void ServerDispatcher::attach(Ticket ticket, const RequestInfo &request, Ticket owner,
+                              Actions &actions)
+{
+    const auto found = this->pending.find(owner);
+    assert(found != this->pending.end());
+    found->second.waiters.push_back(ticket);
+    Pending &attached = this->pending[ticket];
+    attached.request = request;
+    attached.stage = Stage::Attached;
+    attached.owner = owner;
+    actions.emplace_back(AttachRequest{ticket, owner});
+}
+
+void ServerDispatcher::sendQueued(core::TimePoint now, Actions &actions)
+{
+    while (this->authority && this->inFlight < this->limit->current(now)) {
+        const std::optional<QueueEntry> next = this->queue.pop();
+        if (!next)
+            return;
+        this->send(next->ticket, now, actions);
+    }
+}
+
+void ServerDispatcher::send(Ticket ticket, core::TimePoint now, Actions &actions)
+{
+    Pending &next = this->pending.at(ticket);
+    if (next.request.deadline <= now) {
+        this->refuseNotSent(ticket, detail::refusedAsExpired(), now, actions);
+        return;
+    }
+    // A ban may have been learned while the request was queued.
+    const auto remaining = this->crashFilter->with([&](const CrashFilter &filter) {
+        return filter.banned(next.request.fingerprint, now);
+    });
+    if (remaining) {
+        this->refuseNotSent(ticket, detail::refusedAsBanned(*remaining), now, actions);
+        return;
+    }
+    next.stage = Stage::InFlight;
+    next.sentAt = now;
+    ++this->inFlight;
+    actions.emplace_back(SendRequest{ticket});
+}
+
+Actions ServerDispatcher::completed(Ticket ticket, const Completion &completion,
+                                    core::TimePoint now)
+{
+    Actions actions;
+    const auto found = this->pending.find(ticket);
+    if (found == this->pending.end() || found->second.stage != Stage::InFlight)
+        return actions;
+    const Pending ended = std::move(found->second);
+    this->pending.erase(found);
+    this->noteEnd(ended, completion, now);
+    --this->inFlight;
+
+    Refusal refusal;
+    if (completion.outcome != RunOutcome::Answered) {
+        refusal = detail::refusedAfterSending(completion.outcome, completion.kind,
+                                              this->expectedWait(ended.request, now));
+        actions.emplace_back(RefuseRequest{ticket, refusal});
+    }
+    this->endWaiters(ended, completion, refusal, now, actions);
+    this->sendQueued(now, actions);
+    return actions;
+}
+
+void ServerDispatcher::noteEnd(const Pending &ended, const Completion &completion,
+                               core::TimePoint now)
+{
+    const core::Duration age = now - ended.sentAt;
+    if (completion.outcome == RunOutcome::Answered) {
+        this->limit->answered(completion.latency.value_or(age), this->inFlight, now);
+        this->serviceTime += (age - this->serviceTime) / serviceTimeWeight;
+        this->crashFilter->with(
+                [&](CrashFilter &filter) { filter.answered(ended.request.fingerprint); });
+        return;
+    }
+    switch (completion.kind) {
+    case core::ErrorKind::Overloaded:
+        this->limit->refused(now);
+        break;
+    case core::ErrorKind::ConnectionLost:
+        this->suspects.push_back(Suspect{ended.request.fingerprint, now});
+        this->limit->connectionLost(now);
+        break;
+    case core::ErrorKind::Unavailable:
+        this->limit->connectionLost(now);
+        break;
+    case core::ErrorKind::Timeout:
+        this->limit->waiting(age, now);
+        break;
+    default:
+        break;
+    }
+}
+
+void ServerDispatcher::endWaiters(const Pending &owner, const Completion &completion,
+                                  const Refusal &refusal, core::TimePoint now, Actions &actions)
+{
+    std::shared_ptr<const StoredResponse> response;
+    if (completion.outcome == RunOutcome::Answered) {
+        StoredResponse stored;
+        stored.bodyStored = false;
+        response = std::make_shared<const StoredResponse>(completion.response.value_or(stored));
+    }
+    if (!owner.request.idempotent)
+        this->ledger.complete(owner.request, completion.outcome, response, now);
+    for (Ticket waiter : owner.waiters) {
+        this->pending.erase(waiter);
+        if (response)
+            actions.emplace_back(GiveResponse{waiter, response});
+        else
+            actions.emplace_back(RefuseRequest{waiter, refusal});
+    }
+}
+
+} // namespace amaranthdale::decisions
