Add JSON codecs of records, service documents and state

Cause: instances exchange records and documents as JSON, and nothing could read, check or write them.

Change: libs/records gets a reader that collects every fault with its path, strict durations with units, and codecs for log records, service documents and the replayed state in pieces of at most 64 KB. requestSlots, coldSlots and checksFence have no default, since a wrong one could break a promise. Hot keys and pieces are percent-encoded, so that records stay ASCII.

Ruled out: duplicate detection on Boost.JSON's parsed value, which keeps only the last of two equal fields; a pass with its event parser finds them.

--- /dev/null
+++ b/libs/records/include/amaranthdale/records/record_codec.h
@@ -0,0 +1,19 @@
+// JSON form of log records.
+#pragma once
+
+#include "amaranthdale/decisions/log_records.h"
+#include "amaranthdale/records/fault.h"
+
+#include <string>
+#include <string_view>
+
+namespace amaranthdale::records {
+
+/// Writes a record as one line of ASCII. Hot keys and snapshot pieces are percent-encoded, since
+/// they may hold any bytes.
+std::string encodeRecord(const decisions::LogRecord &record);
+
+/// Reads what `encodeRecord` writes. Anything else is a list of faults; never crashes on bad input.
+Checked<decisions::LogRecord> decodeRecord(std::string_view text);
+
+} // namespace amaranthdale::records
--- /dev/null
+++ b/libs/records/src/object_reader.cpp
@@ -0,0 +1,264 @@
+// Checks of single fields.
+#include "amaranthdale/records/object_reader.h"
+
+#include "amaranthdale/records/duration.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/string.hpp>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cctype>
+
+namespace amaranthdale::records {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t longestIdentifier = 100;
+constexpr std::string_view identifierSigns = "._-:@";
+constexpr std::string_view tokenSigns = "!#$%&'*+-.^_`|~"; // RFC 9110, section 5.6.2.
+
+std::string_view viewOf(const json::string &text)
+{
+    return std::string_view(text.data(), text.size());
+}
+
+bool consistsOf(std::string_view text, std::string_view signs)
+{
+    return std::all_of(text.begin(), text.end(), [signs](char sign) {
+        return std::isalnum(static_cast<unsigned char>(sign))
+                || signs.find(sign) != std::string_view::npos;
+    });
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && text.size() <= longestIdentifier && consistsOf(text, tokenSigns);
+}
+
+bool isNumericAddress(const std::string &address)
+{
+    in6_addr buffer{};
+    return inet_pton(AF_INET, address.c_str(), &buffer) == 1
+            || inet_pton(AF_INET6, address.c_str(), &buffer) == 1;
+}
+
+std::string rangeMessage(std::string_view least, std::string_view most)
+{
+    return "out of range; give a value from " + std::string(least) + " to " + std::string(most);
+}
+
+} // namespace
+
+core::Error toError(const Faults &faults)
+{
+    std::string message;
+    for (const Fault &fault : faults) {
+        message += message.empty() ? "" : "\n";
+        message += (fault.path.empty() ? "document" : fault.path) + ": " + fault.message;
+    }
+    return core::Error{core::ErrorKind::InvalidDocument, std::move(message)};
+}
+
+ObjectReader::ObjectReader(const json::value &value, std::string objectPath, Faults &list)
+    : source(value.if_object()), path(std::move(objectPath)), faults(&list)
+{
+    if (!this->source)
+        this->faults->push_back(Fault{this->path, "wrong type; give an object"});
+}
+
+std::string ObjectReader::pathOf(std::string_view name) const
+{
+    return this->path.empty() ? std::string(name) : this->path + "." + std::string(name);
+}
+
+std::string ObjectReader::pathOf(std::string_view name, std::size_t index) const
+{
+    return this->pathOf(name) + "[" + std::to_string(index) + "]";
+}
+
+void ObjectReader::fault(std::string_view name, std::string message)
+{
+    this->faults->push_back(Fault{this->pathOf(name), std::move(message)});
+}
+
+bool ObjectReader::has(std::string_view name) const
+{
+    return this->source && this->source->contains(json::string_view(name.data(), name.size()));
+}
+
+const json::value *ObjectReader::take(std::string_view name, Presence presence)
+{
+    this->known.emplace(name);
+    if (!this->source)
+        return nullptr;
+    const json::value *value =
+            this->source->if_contains(json::string_view(name.data(), name.size()));
+    if (!value && presence == Presence::Required)
+        this->fault(name, "field is missing; add it");
+    return value;
+}
+
+const json::array *ObjectReader::array(std::string_view name, Presence presence)
+{
+    const json::value *value = this->take(name, presence);
+    if (!value)
+        return nullptr;
+    if (!value->is_array())
+        this->fault(name, "wrong type; give a list");
+    return value->if_array();
+}
+
+const json::string *ObjectReader::string(std::string_view name, Presence presence)
+{
+    const json::value *value = this->take(name, presence);
+    if (!value)
+        return nullptr;
+    if (!value->is_string())
+        this->fault(name, "wrong type; give text in quotation marks");
+    return value->if_string();
+}
+
+void ObjectReader::unsignedNumber(std::string_view name, std::uint64_t &target, std::uint64_t least,
+                                  std::uint64_t most, Presence presence)
+{
+    const json::value *value = this->take(name, presence);
+    if (!value)
+        return;
+    if (!value->is_int64() && !value->is_uint64())
+        return this->fault(name, "wrong type; give a whole number");
+    json::error_code error;
+    const auto number = value->to_number<std::uint64_t>(error);
+    if (error || number < least || number > most)
+        return this->fault(name, rangeMessage(std::to_string(least), std::to_string(most)));
+    target = number;
+}
+
+void ObjectReader::share(std::string_view name, double &target, double above, double below,
+                         Presence presence)
+{
+    const json::value *value = this->take(name, presence);
+    if (!value)
+        return;
+    if (!value->is_number())
+        return this->fault(name, "wrong type; give a number");
+    const double number = value->to_number<double>();
+    if (!(number > above && number < below))
+        return this->fault(name,
+                           "out of range; give a value above " + std::to_string(above)
+                                   + " and below " + std::to_string(below));
+    target = number;
+}
+
+void ObjectReader::flag(std::string_view name, bool &target, Presence presence)
+{
+    const json::value *value = this->take(name, presence);
+    if (!value)
+        return;
+    if (!value->is_bool())
+        return this->fault(name, "wrong type; give true or false");
+    target = value->get_bool();
+}
+
+void ObjectReader::text(std::string_view name, std::string &target, std::size_t most,
+                        Presence presence)
+{
+    const json::string *value = this->string(name, presence);
+    if (!value)
+        return;
+    if (value->size() > most)
+        return this->fault(name, "too long; give at most " + std::to_string(most) + " bytes");
+    target = viewOf(*value);
+}
+
+void ObjectReader::identifier(std::string_view name, std::string &target, Presence presence)
+{
+    const json::string *value = this->string(name, presence);
+    if (!value)
+        return;
+    const bool rightLength = !value->empty() && value->size() <= longestIdentifier;
+    if (!rightLength || !consistsOf(viewOf(*value), identifierSigns))
+        return this->fault(name, "no valid name; give 1 to 100 letters, digits or . _ - : @");
+    target = viewOf(*value);
+}
+
+void ObjectReader::token(std::string_view name, std::string &target, Presence presence)
+{
+    const json::string *value = this->string(name, presence);
+    if (!value)
+        return;
+    if (!isToken(viewOf(*value)))
+        return this->fault(name, "no valid header name; give letters, digits or -");
+    target = viewOf(*value);
+}
+
+void ObjectReader::tokens(std::string_view name, std::vector<std::string> &target,
+                          Presence presence)
+{
+    const json::array *list = this->array(name, presence);
+    if (!list)
+        return;
+    std::vector<std::string> result;
+    for (std::size_t index = 0; index < list->size(); ++index) {
+        const json::string *value = (*list)[index].if_string();
+        if (!value || !isToken(viewOf(*value))) {
+            this->faults->push_back(
+                    Fault{this->pathOf(name, index), "no valid method; give one such as \"GET\""});
+            continue;
+        }
+        if (std::find(result.begin(), result.end(), viewOf(*value)) != result.end())
+            this->faults->push_back(
+                    Fault{this->pathOf(name, index), "stands twice; remove all but one"});
+        result.emplace_back(viewOf(*value));
+    }
+    target = std::move(result);
+}
+
+void ObjectReader::duration(std::string_view name, core::Duration &target, core::Duration least,
+                            core::Duration most, Presence presence)
+{
+    const json::string *value = this->string(name, presence);
+    if (!value)
+        return;
+    const auto parsed = core::attempt([&] { return parseDuration(viewOf(*value)); });
+    if (!parsed)
+        return this->fault(name, parsed.error().message);
+    if (*parsed < least || *parsed > most)
+        return this->fault(name, rangeMessage(formatDuration(least), formatDuration(most)));
+    target = *parsed;
+}
+
+void ObjectReader::endpoint(std::string_view name, core::Endpoint &target, std::uint16_t leastPort,
+                            Presence presence)
+{
+    const json::string *value = this->string(name, presence);
+    if (!value)
+        return;
+    const auto parsed = core::attempt([&] { return core::parseEndpoint(viewOf(*value)); });
+    if (!parsed)
+        return this->fault(name, parsed.error().message);
+    if (!isNumericAddress(parsed->address))
+        return this->fault(name, "'" + parsed->address + "' is no IP address; give a numeric one");
+    if (parsed->port < leastPort)
+        return this->fault(name, "port out of range; give one from 1 to 65535");
+    target = *parsed;
+}
+
+void ObjectReader::finish()
+{
+    if (!this->source)
+        return;
+    std::string list;
+    for (const std::string &name : this->known)
+        list += (list.empty() ? "" : ", ") + name;
+    for (const auto &member : *this->source) {
+        const std::string_view name(member.key().data(), member.key().size());
+        if (!this->known.contains(name))
+            this->fault(name, "unknown field; remove it or use one of: " + list);
+    }
+}
+
+} // namespace amaranthdale::records
--- /dev/null
+++ b/libs/records/src/service_document_codec.cpp
@@ -0,0 +1,223 @@
+// JSON form and check of service documents.
+#include "amaranthdale/records/service_document_codec.h"
+
+#include "amaranthdale/records/duration.h"
+#include "json_form.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <map>
+#include <set>
+
+namespace amaranthdale::records {
+
+namespace json = boost::json;
+using decisions::BackendServer;
+using decisions::Brand;
+using decisions::ServiceDocument;
+using decisions::ValueSource;
+using namespace std::chrono_literals;
+
+namespace detail {
+
+namespace {
+
+constexpr core::SlotIndex mostHashSlots = 65536; // Keeps the table of owners in a few snapshots.
+constexpr std::uint64_t anyNumber = std::numeric_limits<std::uint64_t>::max();
+constexpr std::size_t mostBodyBytes = 64 * 1024 * 1024; // A body is held whole by an instance.
+constexpr std::size_t lastSegment = 15;
+constexpr unsigned mostWeight = 1000;
+constexpr unsigned mostRequestSlots = 10'000;
+constexpr unsigned mostConnections = 100'000;
+constexpr core::Duration longestRequest = 10min;
+constexpr core::Duration longestWindow = 24h;
+
+json::object toJson(const ValueSource &source)
+{
+    switch (source.kind) {
+    case ValueSource::Kind::Header:
+        return {{"header", jsonText(source.header)}};
+    case ValueSource::Kind::PathSegment:
+        return {{"pathSegment", source.segment}};
+    case ValueSource::Kind::None:
+        break;
+    }
+    return {};
+}
+
+void read(ObjectReader &reader, ValueSource &source)
+{
+    const bool hasHeader = reader.has("header");
+    const bool hasSegment = reader.has("pathSegment");
+    if (hasHeader && hasSegment)
+        reader.fault("pathSegment", "excludes header; give only one of the two");
+    reader.token("header", source.header, Presence::Optional);
+    reader.integer("pathSegment", source.segment, std::size_t(0), lastSegment, Presence::Optional);
+    if (hasHeader)
+        source.kind = ValueSource::Kind::Header;
+    else if (hasSegment)
+        source.kind = ValueSource::Kind::PathSegment;
+}
+
+json::object toJson(const decisions::Objective &objective)
+{
+    return {{"availability", objective.availability},
+            {"latency", jsonText(formatDuration(objective.latency))},
+            {"latencyShare", objective.latencyShare}};
+}
+
+void read(ObjectReader &reader, decisions::Objective &objective)
+{
+    reader.share("availability", objective.availability, 0, 1, Presence::Optional);
+    reader.duration("latency", objective.latency, 1us, longestRequest, Presence::Optional);
+    reader.share("latencyShare", objective.latencyShare, 0, 1, Presence::Optional);
+}
+
+void readBrands(ObjectReader &reader, std::vector<Brand> &brands)
+{
+    std::set<core::BrandName> names;
+    reader.objects("brands", Presence::Optional, [&](ObjectReader &each) {
+        Brand &brand = brands.emplace_back();
+        each.name("name", brand.name);
+        each.integer("weight", brand.weight, 1U, mostWeight, Presence::Optional);
+        if (!brand.name.empty() && !names.insert(brand.name).second)
+            each.fault("name", "brand " + brand.name.value + " stands twice; remove one");
+    });
+}
+
+// Names and endpoints seen so far, with the path of the server that holds them.
+struct ServersSeen
+{
+    std::map<core::ServerName, std::string> names;
+    std::map<core::Endpoint, std::string> endpoints;
+};
+
+void checkUnique(ObjectReader &reader, const BackendServer &server, ServersSeen &seen)
+{
+    if (!server.name.empty()) {
+        const auto [at, isNew] = seen.names.try_emplace(server.name, reader.pathOf("name"));
+        if (!isNew)
+            reader.fault("name", "same as " + at->second + "; give each server its own name");
+    }
+    if (!server.endpoint.address.empty()) {
+        const auto [at, isNew] =
+                seen.endpoints.try_emplace(server.endpoint, reader.pathOf("endpoint"));
+        if (!isNew)
+            reader.fault("endpoint", "same as " + at->second + "; give each server its own");
+    }
+}
+
+void readServers(ObjectReader &reader, std::vector<BackendServer> &servers)
+{
+    ServersSeen seen;
+    reader.objects("servers", Presence::Required, [&](ObjectReader &each) {
+        BackendServer &server = servers.emplace_back();
+        detail::read(each, server);
+        checkUnique(each, server, seen);
+    });
+}
+
+} // namespace
+
+json::object toJson(const BackendServer &server)
+{
+    return {{"name", jsonText(server.name.value)},
+            {"dataCentre", jsonText(server.dataCentre.value)},
+            {"endpoint", jsonText(core::formatEndpoint(server.endpoint))},
+            {"requestSlots", server.requestSlots},
+            {"coldSlots", server.coldSlots},
+            {"maxConnections", server.maxConnections},
+            {"checksFence", server.checksFence},
+            {"leaving", server.leaving}};
+}
+
+void read(ObjectReader &reader, BackendServer &server)
+{
+    reader.name("name", server.name);
+    reader.name("dataCentre", server.dataCentre);
+    reader.endpoint("endpoint", server.endpoint);
+    reader.integer("requestSlots", server.requestSlots, 1U, mostRequestSlots);
+    // A cold limit above the warm one would let a cold server take more than it can sustain.
+    reader.integer("coldSlots", server.coldSlots, 1U, server.requestSlots);
+    reader.integer("maxConnections", server.maxConnections, 1U, mostConnections,
+                   Presence::Optional);
+    reader.flag("checksFence", server.checksFence);
+    reader.flag("leaving", server.leaving, Presence::Optional);
+}
+
+json::object toJson(const ServiceDocument &document)
+{
+    json::object result = {{"service", jsonText(document.service.value)}};
+    if (document.key.kind != ValueSource::Kind::None)
+        result["key"] = toJson(document.key);
+    if (document.brand.kind != ValueSource::Kind::None)
+        result["brand"] = toJson(document.brand);
+    json::array brands;
+    for (const Brand &brand : document.brands)
+        brands.push_back(
+                json::object{{"name", jsonText(brand.name.value)}, {"weight", brand.weight}});
+    result["brands"] = std::move(brands);
+    result["hashSlots"] = document.hashSlots;
+    result["hashSeed"] = document.hashSeed;
+    result["requestTimeout"] = jsonText(formatDuration(document.requestTimeout));
+    result["idempotencyWindow"] = jsonText(formatDuration(document.idempotencyWindow));
+    json::array methods;
+    for (const std::string &method : document.idempotentMethods)
+        methods.push_back(jsonText(method));
+    result["idempotentMethods"] = std::move(methods);
+    result["maxBodyBytes"] = document.maxBodyBytes;
+    result["objective"] = toJson(document.objective);
+    json::array servers;
+    for (const BackendServer &server : document.servers)
+        servers.push_back(toJson(server));
+    result["servers"] = std::move(servers);
+    return result;
+}
+
+void read(ObjectReader &reader, ServiceDocument &document)
+{
+    reader.name("service", document.service);
+    if (document.service.value == "-")
+        reader.fault("service", "/-/ is reserved for the system; choose another name");
+    reader.object("key", Presence::Optional, [&](ObjectReader &each) { read(each, document.key); });
+    reader.object("brand", Presence::Optional,
+                  [&](ObjectReader &each) { read(each, document.brand); });
+    readBrands(reader, document.brands);
+    reader.integer("hashSlots", document.hashSlots, core::SlotIndex(1), mostHashSlots,
+                   Presence::Optional);
+    reader.integer("hashSeed", document.hashSeed, std::uint64_t(0), anyNumber, Presence::Optional);
+    reader.duration("requestTimeout", document.requestTimeout, 1ms, longestRequest,
+                    Presence::Optional);
+    reader.duration("idempotencyWindow", document.idempotencyWindow, 1s, longestWindow,
+                    Presence::Optional);
+    reader.tokens("idempotentMethods", document.idempotentMethods, Presence::Optional);
+    reader.integer("maxBodyBytes", document.maxBodyBytes, std::size_t(1), mostBodyBytes,
+                   Presence::Optional);
+    reader.object("objective", Presence::Optional,
+                  [&](ObjectReader &each) { read(each, document.objective); });
+    readServers(reader, document.servers);
+}
+
+} // namespace detail
+
+Checked<ServiceDocument> parseServiceDocument(std::string_view text)
+{
+    Faults faults;
+    ServiceDocument document;
+    if (const std::optional<json::value> value = parseJson(text, faults)) {
+        ObjectReader reader(*value, "", faults);
+        detail::read(reader, document);
+        reader.finish();
+    }
+    if (!faults.empty())
+        return faults;
+    return document;
+}
+
+std::string formatServiceDocument(const ServiceDocument &document)
+{
+    return json::serialize(detail::toJson(document));
+}
+
+} // namespace amaranthdale::records
