--- a/libs/platform/include/amaranthdale/platform/log_service.h
+++ b/libs/platform/include/amaranthdale/platform/log_service.h
@@ -36,7 +36,8 @@
     virtual void append(std::string body, core::Duration timeout,
                         std::function<void(core::Outcome<core::LogOffset>)> handler) = 0;
 
-    /// Reads up to `most` records from `from` on. Waits up to `wait` when there are none yet.
+    /// Reads up to `most` records from `from` on; a page begins later when retention has removed
+    /// some. The log waits up to `wait` when there are none yet, and `timeout` counts on top of it.
     virtual void read(core::LogOffset from, std::size_t most, core::Duration wait,
                       core::Duration timeout,
                       std::function<void(core::Outcome<LogPage>)> handler) = 0;
--- /dev/null
+++ b/libs/platform/src/instance_list.cpp
@@ -0,0 +1,108 @@
+// Client of the instance list over HTTP.
+#include "amaranthdale/platform/instance_list.h"
+
+#include "json_exchange.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace amaranthdale::platform {
+
+namespace {
+
+using records::ObjectReader;
+using records::Presence;
+
+constexpr std::string_view stateLive = "live";
+constexpr std::string_view stateLeaving = "leaving";
+
+void readInstance(ObjectReader &reader, ListedInstance &instance)
+{
+    reader.name("id", instance.id.name);
+    reader.number("incarnation", instance.id.incarnation);
+    reader.name("dataCentre", instance.dataCentre);
+    reader.endpoint("peerAddress", instance.peerEndpoint);
+    std::string state;
+    reader.identifier("state", state);
+    instance.leaving = state == stateLeaving;
+    if (state != stateLive && state != stateLeaving)
+        reader.fault("state", "unknown; expected live or leaving");
+}
+
+void readInstances(ObjectReader &reader, std::vector<ListedInstance> &instances)
+{
+    reader.objects("instances", Presence::Required, [&instances](ObjectReader &each) {
+        readInstance(each, instances.emplace_back());
+    });
+    reader.finish();
+}
+
+std::string formatInstance(const ListedInstance &instance)
+{
+    const std::string_view state = instance.leaving ? stateLeaving : stateLive;
+    return boost::json::serialize(
+            boost::json::object{{"id", instance.id.name.value},
+                                {"incarnation", instance.id.incarnation.value},
+                                {"dataCentre", instance.dataCentre.value},
+                                {"peerAddress", core::formatEndpoint(instance.peerEndpoint)},
+                                {"state", std::string(state)}});
+}
+
+class HttpInstanceList : public InstanceList
+{
+public:
+    HttpInstanceList(core::HttpSender &httpSender, core::Endpoint to)
+        : sender(httpSender), endpoint(std::move(to))
+    { }
+
+    void fetch(core::Duration timeout,
+               std::function<void(core::Outcome<std::vector<ListedInstance>>)> handler) override
+    {
+        using Instances = std::vector<ListedInstance>;
+        detail::exchangeJson(this->sender, this->endpoint, {"GET", "/instances", {}, {}}, timeout,
+                             [handler = std::move(handler)](core::Outcome<std::string> body) {
+                                 if (!body)
+                                     return handler(body.error());
+                                 handler(detail::readJson<Instances>(*body, readInstances));
+                             });
+    }
+
+    void announce(const ListedInstance &instance, core::Duration timeout,
+                  std::function<void(core::Outcome<core::Done>)> handler) override
+    {
+        this->change("PUT", instance.id.name, formatInstance(instance), timeout,
+                     std::move(handler));
+    }
+
+    void withdraw(const core::InstanceName &name, core::Duration timeout,
+                  std::function<void(core::Outcome<core::Done>)> handler) override
+    {
+        this->change("DELETE", name, {}, timeout, std::move(handler));
+    }
+
+private:
+    void change(std::string method, const core::InstanceName &name, std::string body,
+                core::Duration timeout, std::function<void(core::Outcome<core::Done>)> handler)
+    {
+        core::HttpRequest request{
+                std::move(method), "/instances/" + name.value, {}, std::move(body)};
+        detail::exchangeJson(this->sender, this->endpoint, std::move(request), timeout,
+                             [handler = std::move(handler)](core::Outcome<std::string> response) {
+                                 if (!response)
+                                     return handler(response.error());
+                                 handler(core::Done{});
+                             });
+    }
+
+    core::HttpSender &sender;
+    const core::Endpoint endpoint;
+};
+
+} // namespace
+
+std::unique_ptr<InstanceList> makeInstanceList(core::HttpSender &sender, core::Endpoint endpoint)
+{
+    return std::make_unique<HttpInstanceList>(sender, std::move(endpoint));
+}
+
+} // namespace amaranthdale::platform
