Test the decisions about requests and close a gap after takeovers

Cause: a RapidCheck property over two controllers found that an id made by an entry instance before a takeover was run by the new controller, and then again, sent by its caller as a resend, by the old one that had not noticed its successor yet. Change: a ledger runs no id from before its start, whoever made it; ids made by entry instances get the verdict Predates (not run, fenced) and are sent again under a new id. Ids from beyond the replayed offset are refused as fenced too, since a successor may have sent them. Ruled out: relying on the fence of the backend server alone; not every server checks fences, and the "not run" of the old controller would still have been untrue.

--- a/libs/decisions/include/amaranthdale/decisions/request_ledger.h
+++ b/libs/decisions/include/amaranthdale/decisions/request_ledger.h
@@ -35,6 +35,7 @@
     Unknown,      ///< It may have run; must not be sent.
     OtherRequest, ///< The id belongs to a request with another fingerprint; must not be sent.
     FromFuture,   ///< Issued at an offset that this instance has not replayed; not run here.
+    Predates,     ///< Made by an entry instance before the memory starts; needs a newer id.
     Full,         ///< No memory for another id; not run.
     NotOwned,     ///< No memory of this slot was started here.
 };
@@ -73,6 +74,9 @@
 /// start ids chosen by callers, are unknown unless an entry says more. An id issued at an offset
 /// that this instance has not replayed is not accepted: that's why a successor whose memory starts
 /// at its own record's offset can be sure that its predecessor ran none of the ids issued since.
+/// In return, a successor runs no id from before its start, not even one made by an entry instance
+/// for this very request, so what a predecessor that has not noticed yet says of those ids is true.
+/// The entry instance makes a new id for its next attempt.
 class RequestLedger
 {
 public:
--- a/libs/decisions/src/refusals.cpp
+++ b/libs/decisions/src/refusals.cpp
@@ -27,8 +27,14 @@
                 "the request id was used for another request; send this one with an id of its own",
                 {}};
     case LedgerVerdict::FromFuture:
-        return {RunOutcome::NotRun, ErrorKind::Unavailable,
+        // Fenced: a newer controller, unknown here, may already have sent it.
+        return {RunOutcome::NotRun, ErrorKind::Fenced,
                 "the request id is newer than this instance's state; send it again", learningTime};
+    case LedgerVerdict::Predates:
+        return {RunOutcome::NotRun, ErrorKind::Fenced,
+                "the request id is older than this controller's memory; send the request with a "
+                "new id",
+                learningTime};
     case LedgerVerdict::NotOwned:
         return {RunOutcome::NotRun, ErrorKind::Fenced,
                 "another instance controls the hash slot; send the request there", learningTime};
--- a/libs/decisions/src/refusals.h
+++ b/libs/decisions/src/refusals.h
@@ -5,7 +5,7 @@
 
 namespace amaranthdale::decisions::detail {
 
-/// For verdicts that need no further figure: Unknown, OtherRequest, FromFuture and NotOwned.
+/// For verdicts that need no further figure.
 Refusal refusalFor(LedgerVerdict verdict);
 Refusal refusedAsLedgerFull(core::Duration wait);
 Refusal refusedWithoutAuthority();
--- a/libs/decisions/src/request_ledger.cpp
+++ b/libs/decisions/src/request_ledger.cpp
@@ -90,11 +90,11 @@
 
     if (key.issuedAt && *key.issuedAt > this->newestReplayed)
         return {LedgerVerdict::FromFuture, 0, nullptr};
-    if (request.origin != IdOrigin::Instance) {
-        const bool forgotten = key.issuedAt ? *key.issuedAt < slot->second.knownSince
-                                            : now < slot->second.callerUnknownUntil;
-        if (forgotten)
-            return {LedgerVerdict::Unknown, 0, nullptr};
+    const bool forgotten = key.issuedAt ? *key.issuedAt < slot->second.knownSince
+                                        : now < slot->second.callerUnknownUntil;
+    if (forgotten) {
+        const bool certainlyFirst = request.origin == IdOrigin::Instance;
+        return {certainlyFirst ? LedgerVerdict::Predates : LedgerVerdict::Unknown, 0, nullptr};
     }
     if (this->entryCount >= this->options.maxEntries)
         return {LedgerVerdict::Full, 0, nullptr};
--- a/libs/decisions/src/server_dispatcher.cpp
+++ b/libs/decisions/src/server_dispatcher.cpp
@@ -65,6 +65,7 @@
     case LedgerVerdict::Unknown:
     case LedgerVerdict::OtherRequest:
     case LedgerVerdict::FromFuture:
+    case LedgerVerdict::Predates:
     case LedgerVerdict::NotOwned:
         actions.emplace_back(RefuseRequest{ticket, detail::refusalFor(answer.verdict)});
         return;
--- /dev/null
+++ b/libs/decisions/tests/retry_policy_test.cpp
@@ -0,0 +1,172 @@
+// Tests of retries, hedges and the crash filter: each guards against a second run, a retry storm or
+// the loss of a third server.
+#include "amaranthdale/decisions/retry_policy.h"
+#include "request_fixtures.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthdale;
+using namespace amaranthdale::decisions;
+using namespace amaranthdale::decisions::test;
+using core::ErrorKind;
+
+namespace {
+
+const RequestInfo pay = payment("p", IdOrigin::Instance);
+const RequestInfo stockLookup = stockRead("r");
+
+struct Fixture
+{
+    RetryBudget budget;
+    RandomSource random{1};
+    BudgetedRetry policy{budget, random};
+
+    explicit Fixture(int firstAttempts = 1000)
+    {
+        for (int attempt = 0; attempt < firstAttempts; ++attempt)
+            this->policy.firstAttempt();
+    }
+
+    bool again(const RequestInfo &request, RunOutcome outcome, ErrorKind kind,
+               unsigned connectionsLost = 0)
+    {
+        FailedAttempt attempt;
+        attempt.outcome = outcome;
+        attempt.kind = kind;
+        attempt.connectionsLost = connectionsLost;
+        return this->policy.decide(request, attempt, start).again;
+    }
+};
+
+const core::ServerName one("one");
+const core::ServerName two("two");
+const core::Incarnation run(1);
+
+} // namespace
+
+TEST_CASE("a payment that may have run is not repeated, one that certainly didn't is")
+{
+    Fixture fixture;
+    for (ErrorKind kind : {ErrorKind::ConnectionLost, ErrorKind::Timeout, ErrorKind::Unavailable}) {
+        CHECK_FALSE(fixture.again(pay, RunOutcome::Unknown, kind));
+        CHECK(fixture.again(pay, RunOutcome::NotRun, kind));
+        CHECK(fixture.again(stockLookup, RunOutcome::Unknown, kind));
+    }
+    CHECK_FALSE(fixture.again(stockLookup, RunOutcome::Answered, ErrorKind::Internal));
+}
+
+TEST_CASE("a refusal that would come again, such as a ban, is not repeated")
+{
+    Fixture fixture;
+    CHECK_FALSE(fixture.again(stockLookup, RunOutcome::NotRun, ErrorKind::Conflict));
+    CHECK_FALSE(fixture.again(stockLookup, RunOutcome::NotRun, ErrorKind::InvalidArgument));
+}
+
+TEST_CASE("a read that lost two servers isn't tried on a third")
+{
+    Fixture fixture;
+    CHECK(fixture.again(stockLookup, RunOutcome::Unknown, ErrorKind::ConnectionLost, 1));
+    CHECK_FALSE(fixture.again(stockLookup, RunOutcome::Unknown, ErrorKind::ConnectionLost, 2));
+}
+
+TEST_CASE("retries stay within a tenth of first attempts when everything fails")
+{
+    Fixture fixture(0);
+    int retries = 0;
+    for (int attempt = 0; attempt < 10'000; ++attempt) {
+        fixture.policy.firstAttempt();
+        while (fixture.again(stockLookup, RunOutcome::NotRun, ErrorKind::Overloaded))
+            ++retries;
+    }
+    CHECK(retries == 1000);
+}
+
+TEST_CASE("a retry waits as long as the refusal asks, and is not begun after the deadline")
+{
+    Fixture fixture;
+    FailedAttempt attempt{RunOutcome::NotRun, ErrorKind::Overloaded, milliseconds(300), 1, 0};
+    const RetryDecision decision = fixture.policy.decide(stockLookup, attempt, start);
+    CHECK(decision.again);
+    CHECK(decision.delay >= milliseconds(300));
+    CHECK(decision.delay < milliseconds(310));
+    attempt.retryAfter = seconds(2);
+    CHECK_FALSE(fixture.policy.decide(stockLookup, attempt, start).again);
+    CHECK_FALSE(NoRetry().decide(stockLookup, attempt, start).again);
+}
+
+TEST_CASE("hedges start after the observed 95th percentile, for reads without keys only")
+{
+    RetryBudget budget;
+    QuantileHedge hedge(budget);
+    CHECK_FALSE(hedge.delayFor(stockLookup, false, start));
+    for (int sample = 1; sample <= 480; ++sample)
+        hedge.observed(milliseconds(sample % 100));
+    const auto delay = hedge.delayFor(stockLookup, false, start);
+    REQUIRE(delay);
+    CHECK(*delay >= milliseconds(92));
+    CHECK(*delay <= milliseconds(97));
+    CHECK_FALSE(hedge.delayFor(stockLookup, true, start));
+    CHECK_FALSE(hedge.delayFor(pay, false, start));
+    CHECK_FALSE(hedge.delayFor(stockLookup, false, start + milliseconds(1950)));
+    CHECK_FALSE(NoHedge().delayFor(stockLookup, false, start));
+}
+
+TEST_CASE("hedges and retries draw on one budget, so that a slow service isn't loaded twice")
+{
+    Fixture fixture(10);
+    QuantileHedge hedge(fixture.budget);
+    CHECK(hedge.mayHedge());
+    CHECK_FALSE(hedge.mayHedge());
+    CHECK_FALSE(fixture.again(stockLookup, RunOutcome::NotRun, ErrorKind::Overloaded));
+    fixture.budget.giveBack();
+    CHECK(fixture.again(stockLookup, RunOutcome::NotRun, ErrorKind::Overloaded));
+}
+
+TEST_CASE("a fingerprint is banned after two servers, or two runs of one, and not after one")
+{
+    CrashFilter filter;
+    filter.crashed({1, 2}, one, run, start);
+    filter.crashed({1, 2}, one, run, start);
+    CHECK_FALSE(filter.banned(1, start));
+    filter.answered(2);
+    filter.crashed({1, 2}, two, run, start + seconds(1));
+    CHECK(filter.banned(1, start + seconds(1)) == CrashFilter::banTime);
+    CHECK_FALSE(filter.banned(2, start + seconds(1)));
+    CHECK_FALSE(filter.banned(1, start + seconds(1) + CrashFilter::banTime));
+    filter.crashed({2}, two, core::Incarnation(2), start + seconds(2));
+    CHECK(filter.banned(2, start + seconds(2)));
+}
+
+TEST_CASE("strikes at two controllers add up, and a ban reaches peers without growing on the way")
+{
+    CrashFilter here;
+    CrashFilter there;
+    here.crashed({1}, one, run, start);
+    there.crashed({1}, two, run, start);
+    for (const Strike &strike : here.strikes(start))
+        there.mergeStrike(strike, start);
+    REQUIRE(there.banned(1, start));
+    const core::TimePoint later = start + minutes(4);
+    for (const Ban &ban : there.bans(later))
+        here.mergeBan(ban, later);
+    CHECK(here.banned(1, later) == minutes(6));
+    here.mergeStrike(Strike{1, one, run, minutes(4)}, later);
+    there.mergeStrike(Strike{1, one, run, minutes(4)}, later);
+    CHECK(there.banned(1, later) == minutes(6));
+}
+
+TEST_CASE("the filter's memory stays bounded and old strikes lapse")
+{
+    CrashFilter filter(4);
+    for (std::uint64_t fingerprint = 1; fingerprint <= 10; ++fingerprint) {
+        const core::TimePoint now = start + seconds(static_cast<int>(fingerprint));
+        filter.crashed({fingerprint}, one, run, now);
+        filter.mergeBan(Ban{100 + fingerprint, CrashFilter::banTime}, now);
+    }
+    const core::TimePoint end = start + seconds(10);
+    CHECK(filter.strikes(end).size() == 4);
+    CHECK(filter.bans(end).size() == 4);
+    CHECK(filter.banned(110, end));
+    filter.expire(end + CrashFilter::banTime);
+    CHECK(filter.strikes(end).empty());
+}
