Decide on controllers, grants and moves of slots

The engine takes over silent controllers, renews successors, grants slots under a fence and moves them; an in-memory model of the log, servers and links drives several engines. Ruled out: sending grants to a server that stopped answering, which would prolong its lease; load queries find out whether it is back.

--- a/libs/decisions/include/amaranthdale/decisions/authority_policy.h
+++ b/libs/decisions/include/amaranthdale/decisions/authority_policy.h
@@ -47,7 +47,7 @@
 class NamedSuccessorAuthority : public AuthorityPolicy
 {
 public:
-    explicit NamedSuccessorAuthority(OwnershipTimings timings) : timings(timings) { }
+    explicit NamedSuccessorAuthority(OwnershipTimings intervals) : timings(intervals) { }
 
     std::optional<core::TimePoint> authorityUntil(const AuthorityFacts &facts) const override;
     core::Duration waitBeforeSending(const TakeoverFacts &facts) const override;
@@ -64,9 +64,9 @@
 class LongWaitAuthority : public AuthorityPolicy
 {
 public:
-    explicit LongWaitAuthority(OwnershipTimings timings,
-                               core::Duration wait = std::chrono::seconds(90))
-        : timings(timings), wait(wait)
+    explicit LongWaitAuthority(OwnershipTimings intervals,
+                               core::Duration longWait = std::chrono::seconds(90))
+        : timings(intervals), wait(longWait)
     { }
 
     std::optional<core::TimePoint> authorityUntil(const AuthorityFacts &facts) const override;
--- a/libs/decisions/include/amaranthdale/decisions/cluster_state.h
+++ b/libs/decisions/include/amaranthdale/decisions/cluster_state.h
@@ -18,6 +18,9 @@
     core::InstanceId instance;
     std::vector<core::InstanceId> successors;
     core::Epoch epoch; ///< Offset of the record that made it the controller.
+    /// Offset of the last `abandoned` change of the server's controller, 0 without one. Whoever
+    /// takes over later still has to wait for the controller that was replaced then.
+    core::LogOffset abandonedAt;
 
     bool operator==(const Controller &) const = default;
 };
@@ -65,6 +68,15 @@
     bool operator==(const DataCentreState &) const = default;
 };
 
+/// A request fingerprint that is refused everywhere; the ban is counted from replay.
+struct CrashBan
+{
+    core::LogOffset since;
+    core::Duration ban{};
+
+    bool operator==(const CrashBan &) const = default;
+};
+
 /// Result of replaying one record.
 struct Applied
 {
@@ -93,6 +105,12 @@
         return this->dataCentreTable;
     }
 
+    /// Bans by fingerprint, at most 1024: the oldest leaves first, expired or not.
+    const std::map<std::uint64_t, CrashBan> &crashBans() const { return this->banTable; }
+
+    /// What the newest snapshot on the log covers; 0 without one.
+    core::LogOffset snapshotOffset() const { return this->lastSnapshot; }
+
     const ServiceState *findService(const core::ServiceName &name) const;
     const ServerState *findServer(const core::ServerName &name) const;
     bool isDrained(const core::DataCentreName &name) const;
@@ -100,10 +118,11 @@
     /// True when the server may be given new slots: declared, not leaving, data centre in service.
     bool acceptsSlots(const core::ServerName &name) const;
 
-    /// Sets the whole state, as read from a snapshot.
+    /// Sets the whole state, as read from a snapshot that covers `offset`.
     void restore(core::LogOffset offset, std::map<core::ServiceName, ServiceState> services,
                  std::map<core::ServerName, ServerState> servers,
-                 std::map<core::DataCentreName, DataCentreState> dataCentres);
+                 std::map<core::DataCentreName, DataCentreState> dataCentres,
+                 std::map<std::uint64_t, CrashBan> crashBans = {});
 
     bool operator==(const ClusterState &) const = default;
 
@@ -129,6 +148,8 @@
     std::map<core::ServiceName, ServiceState> serviceTable;
     std::map<core::ServerName, ServerState> serverTable;
     std::map<core::DataCentreName, DataCentreState> dataCentreTable;
+    std::map<std::uint64_t, CrashBan> banTable;
+    core::LogOffset lastSnapshot;
 };
 
 } // namespace amaranthdale::decisions
--- a/libs/decisions/include/amaranthdale/decisions/placement.h
+++ b/libs/decisions/include/amaranthdale/decisions/placement.h
@@ -19,22 +19,18 @@
     std::set<core::ServerName> unreachable; ///< Servers that don't answer their controller.
 };
 
-/// A controller of a backend server with its successors in order of preference.
-struct ControllerChoice
-{
-    core::InstanceId controller;
-    std::vector<core::InstanceId> successors;
-};
-
 /// The rules of placement. Implementations hold no state.
 class Placement
 {
 public:
     virtual ~Placement() = default;
 
-    /// Controller and successors for a server that has none; nothing without instances.
-    virtual std::optional<ControllerChoice> chooseController(const PlacementView &view,
-                                                             const ServerState &server) const = 0;
+    /// Controllers and successors for all servers that have no controller.
+    virtual std::vector<ControllerRecord> chooseControllers(const PlacementView &view) const = 0;
+
+    /// A server that `self` controls and an instance that controls clearly fewer, if any.
+    virtual std::optional<ControllerRecord> moveController(const PlacementView &view,
+                                                           const core::InstanceId &self) const = 0;
 
     /// Successors of `controller`, at most two; those still in `keep` stay.
     virtual std::vector<core::InstanceId> chooseSuccessors(
@@ -65,8 +61,9 @@
 class RendezvousPlacement : public Placement
 {
 public:
-    std::optional<ControllerChoice> chooseController(const PlacementView &view,
-                                                     const ServerState &server) const override;
+    std::vector<ControllerRecord> chooseControllers(const PlacementView &view) const override;
+    std::optional<ControllerRecord> moveController(const PlacementView &view,
+                                                   const core::InstanceId &self) const override;
     std::vector<core::InstanceId> chooseSuccessors(
             const PlacementView &view, const ServerState &server,
             const core::InstanceId &controller,
--- a/libs/decisions/src/cluster_state.cpp
+++ b/libs/decisions/src/cluster_state.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Bounds the state. Replay has no clock, so a ban leaves when this many newer ones exist.
+constexpr std::size_t mostCrashBans = 1024;
+
 Applied accepted()
 {
     return Applied{true, {}};
@@ -96,12 +99,15 @@
 void ClusterState::restore(core::LogOffset offset,
                            std::map<core::ServiceName, ServiceState> services,
                            std::map<core::ServerName, ServerState> servers,
-                           std::map<core::DataCentreName, DataCentreState> dataCentres)
+                           std::map<core::DataCentreName, DataCentreState> dataCentres,
+                           std::map<std::uint64_t, CrashBan> crashBans)
 {
     this->lastOffset = offset;
     this->serviceTable = std::move(services);
     this->serverTable = std::move(servers);
     this->dataCentreTable = std::move(dataCentres);
+    this->banTable = std::move(crashBans);
+    this->lastSnapshot = offset;
 }
 
 std::string ClusterState::whyDocumentInvalid(const ServiceDocument &document) const
@@ -196,7 +202,13 @@
         return dropped(record.id.proposer.name.value + " is no successor of "
                        + server.controller->instance.name.value + " for " + body.server.value
                        + "; only a named successor may take over");
-    server.controller = Controller{body.controller, body.successors, core::Epoch(offset.value)};
+    core::LogOffset abandonedAt;
+    if (body.abandoned && server.controller)
+        abandonedAt = offset;
+    else if (server.controller)
+        abandonedAt = server.controller->abandonedAt;
+    server.controller =
+            Controller{body.controller, body.successors, core::Epoch(offset.value), abandonedAt};
     return accepted();
 }
 
@@ -258,13 +270,23 @@
     return accepted();
 }
 
-Applied ClusterState::applyBody(core::LogOffset, const LogRecord &, const CrashRecord &)
+Applied ClusterState::applyBody(core::LogOffset offset, const LogRecord &, const CrashRecord &body)
 {
+    this->banTable[body.fingerprint] = CrashBan{offset, body.ban};
+    if (this->banTable.size() > mostCrashBans) {
+        const auto oldest = std::min_element(
+                this->banTable.begin(), this->banTable.end(),
+                [](const auto &a, const auto &b) { return a.second.since < b.second.since; });
+        this->banTable.erase(oldest);
+    }
     return accepted();
 }
 
-Applied ClusterState::applyBody(core::LogOffset, const LogRecord &, const SnapshotRecord &)
+Applied ClusterState::applyBody(core::LogOffset, const LogRecord &, const SnapshotRecord &body)
 {
+    // Pieces are appended in order, so the last one shows that the snapshot is complete.
+    if (body.index + 1 == body.count)
+        this->lastSnapshot = std::max(this->lastSnapshot, body.covers);
     return accepted();
 }
 
--- /dev/null
+++ b/libs/decisions/src/failure_detector.cpp
@@ -0,0 +1,153 @@
+// Silence, absence and replacement of instances.
+#include "amaranthdale/decisions/failure_detector.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+// A full mesh of up to 9 instances costs at most 80 heartbeats per second and instance.
+constexpr std::size_t fullMeshInstances = 9;
+constexpr std::size_t watchedAboveMesh = 4;
+
+} // namespace
+
+FailureDetector::FailureDetector(InstanceView instance, OwnershipTimings intervals,
+                                 core::TimePoint now)
+    : self(std::move(instance)), timings(intervals), listeningSince(now)
+{ }
+
+void FailureDetector::listed(const std::vector<InstanceView> &instances, core::TimePoint now)
+{
+    this->listSeen = true;
+    if (!this->firstList)
+        this->firstList = now;
+    for (auto &[id, peer] : this->peers)
+        peer.isListed = false;
+    for (const InstanceView &view : instances) {
+        if (view.id == this->self.id)
+            continue;
+        Peer &peer = this->peers[view.id];
+        peer.view = view;
+        peer.isListed = true;
+        peer.absentSince.reset();
+        if (view.leaving)
+            peer.machine.leave();
+    }
+    for (auto &[id, peer] : this->peers) {
+        if (!peer.isListed && !peer.absentSince)
+            peer.absentSince = now;
+        if (this->isGone(id, now))
+            peer.machine.finish();
+    }
+    std::erase_if(this->peers, [](const auto &entry) {
+        return entry.second.machine.phase() == InstancePhase::Gone;
+    });
+}
+
+void FailureDetector::heard(const core::InstanceId &instance, core::TimePoint now)
+{
+    Peer &peer = this->peers[instance];
+    peer.view.id = instance;
+    peer.lastHeard = now;
+    peer.machine.heard();
+}
+
+void FailureDetector::heartbeatFrom(const InstanceView &instance, core::TimePoint now)
+{
+    this->heard(instance.id, now);
+    Peer &peer = this->peers[instance.id];
+    peer.view = instance;
+    if (instance.leaving)
+        peer.machine.leave();
+}
+
+void FailureDetector::restartSilence(core::TimePoint now)
+{
+    this->listeningSince = now;
+}
+
+core::Duration FailureDetector::silenceOf(const core::InstanceId &instance,
+                                          core::TimePoint now) const
+{
+    const auto found = this->peers.find(instance);
+    core::TimePoint since = this->listeningSince;
+    if (found != this->peers.end() && found->second.lastHeard)
+        since = std::max(since, *found->second.lastHeard);
+    return now - since;
+}
+
+bool FailureDetector::isReplaced(const core::InstanceId &instance) const
+{
+    if (instance.name == this->self.id.name)
+        return instance != this->self.id;
+    return std::any_of(this->peers.begin(), this->peers.end(), [&](const auto &entry) {
+        return entry.second.isListed && entry.first.name == instance.name
+                && entry.first != instance;
+    });
+}
+
+bool FailureDetector::isGone(const core::InstanceId &instance, core::TimePoint now) const
+{
+    if (instance == this->self.id || !this->firstList)
+        return false;
+    if (this->silenceOf(instance, now) < this->timings.silence)
+        return false;
+    if (this->isReplaced(instance))
+        return true;
+    const auto found = this->peers.find(instance);
+    if (found == this->peers.end())
+        return now - *this->firstList >= this->timings.absence;
+    const std::optional<core::TimePoint> &absent = found->second.absentSince;
+    return absent && now - *absent >= this->timings.absence;
+}
+
+std::vector<InstanceView> FailureDetector::usable(core::TimePoint now) const
+{
+    std::vector<InstanceView> result;
+    if (!this->self.leaving)
+        result.push_back(this->self);
+    for (const auto &[id, peer] : this->peers) {
+        const bool answers = peer.lastHeard
+                && now - std::max(*peer.lastHeard, this->listeningSince) < this->timings.silence;
+        if (answers && peer.machine.phase() == InstancePhase::Serving)
+            result.push_back(peer.view);
+    }
+    std::sort(result.begin(), result.end(),
+              [](const InstanceView &a, const InstanceView &b) { return a.id < b.id; });
+    return result;
+}
+
+std::vector<core::InstanceId> FailureDetector::watched() const
+{
+    std::vector<core::InstanceId> result;
+    for (const auto &[id, peer] : this->peers) {
+        if (peer.isListed)
+            result.push_back(id);
+    }
+    if (result.size() < fullMeshInstances)
+        return result;
+    const std::string own = this->self.id.name.value;
+    std::partial_sort(result.begin(), result.begin() + watchedAboveMesh, result.end(),
+                      [&own](const core::InstanceId &a, const core::InstanceId &b) {
+                          return rendezvousWeight(own, a.name.value)
+                                  > rendezvousWeight(own, b.name.value);
+                      });
+    result.resize(watchedAboveMesh);
+    return result;
+}
+
+InstancePhase FailureDetector::phaseOf(const core::InstanceId &instance, core::TimePoint now)
+{
+    const auto found = this->peers.find(instance);
+    if (found == this->peers.end())
+        return this->isGone(instance, now) ? InstancePhase::Gone : InstancePhase::Joining;
+    if (this->silenceOf(instance, now) >= this->timings.silence)
+        found->second.machine.silent();
+    return found->second.machine.phase();
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/src/grant_machine.cpp
@@ -0,0 +1,103 @@
+// Transitions of a grant (Boost.MSM).
+#include "amaranthdale/decisions/grant_machine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+struct Offer
+{ };
+struct Accept
+{ };
+struct Revoke
+{ };
+struct Expire
+{ };
+
+struct Definition : boost::msm::front::state_machine_def<Definition>
+{
+    struct Expired : boost::msm::front::state<>
+    { };
+    struct Offered : boost::msm::front::state<>
+    { };
+    struct Held : boost::msm::front::state<>
+    { };
+    struct Revoking : boost::msm::front::state<>
+    { };
+    using initial_state = Expired; // NOLINT(readability-identifier-naming): name set by MSM
+
+    template<class From, class Event, class To>
+    using Row = boost::msm::front::Row<From, Event, To>;
+
+    struct transition_table // NOLINT(readability-identifier-naming): name set by MSM
+        : boost::mpl::vector<Row<Expired, Offer, Offered>, Row<Offered, Accept, Held>,
+                             Row<Offered, Expire, Expired>, Row<Offered, Revoke, Revoking>,
+                             Row<Held, Revoke, Revoking>, Row<Held, Expire, Expired>,
+                             Row<Revoking, Accept, Held>, Row<Revoking, Expire, Expired>>
+    { };
+
+    template<class Machine, class Event>
+    void no_transition(const Event &, Machine &, int) // NOLINT(readability-identifier-naming)
+    { }
+};
+
+using BackEnd = boost::msm::back::state_machine<Definition>;
+
+template<class State>
+bool isIn(const BackEnd &machine)
+{
+    constexpr int index = boost::msm::back::get_state_id<BackEnd::stt, State>::value;
+    return machine.current_state()[0] == index;
+}
+
+} // namespace
+
+struct GrantMachine::Machine
+{
+    BackEnd backEnd;
+};
+
+GrantMachine::GrantMachine() : machine(std::make_unique<Machine>())
+{
+    this->machine->backEnd.start();
+}
+
+GrantMachine::~GrantMachine() = default;
+GrantMachine::GrantMachine(GrantMachine &&other) noexcept = default;
+GrantMachine &GrantMachine::operator=(GrantMachine &&other) noexcept = default;
+
+void GrantMachine::offer()
+{
+    this->machine->backEnd.process_event(Offer());
+}
+
+void GrantMachine::accept()
+{
+    this->machine->backEnd.process_event(Accept());
+}
+
+void GrantMachine::revoke()
+{
+    this->machine->backEnd.process_event(Revoke());
+}
+
+void GrantMachine::expire()
+{
+    this->machine->backEnd.process_event(Expire());
+}
+
+GrantPhase GrantMachine::phase() const
+{
+    const BackEnd &backEnd = this->machine->backEnd;
+    if (isIn<Definition::Expired>(backEnd))
+        return GrantPhase::Expired;
+    if (isIn<Definition::Offered>(backEnd))
+        return GrantPhase::Offered;
+    return isIn<Definition::Held>(backEnd) ? GrantPhase::Held : GrantPhase::Revoking;
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/src/ownership_moves.cpp
@@ -0,0 +1,163 @@
+// Moves of slots away from the servers that this instance controls.
+#include "ownership_state.h"
+
+#include <algorithm>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+// Bounds planned moves: at most this many slots of a server at once, one batch per interval.
+constexpr std::size_t rebalanceBatch = 16;
+constexpr core::Duration rebalanceInterval = std::chrono::milliseconds(250);
+
+// A server that is drained hands over at least this many slots at once, or a quarter of them, so
+// that it is empty within seconds while most of its slots are served all the time.
+constexpr std::size_t drainBatch = 16;
+
+// A key above this share of its server's requests moves singly.
+constexpr double hotKeyShare = 0.2;
+
+// Keeps the first `most` slots of the moves.
+std::vector<SlotMove> firstOf(std::vector<SlotMove> moves, std::size_t most)
+{
+    for (SlotMove &move : moves) {
+        const std::size_t kept = std::min(most, move.slots.size());
+        move.slots.resize(kept);
+        most -= kept;
+    }
+    std::erase_if(moves,
+                  [](const SlotMove &move) { return move.slots.empty() && move.hotKeys.empty(); });
+    return moves;
+}
+
+} // namespace
+
+void OwnershipEngine::State::pollMoves(core::TimePoint now)
+{
+    for (const auto &[name, control] : this->controls) {
+        if (control.isReleased(now)) {
+            this->releaseLost(name, control, now);
+            continue;
+        }
+        const bool possible = this->logIsReachable(now) && control.isReachable(now)
+                && this->hasAuthority(name, now);
+        if (!possible)
+            this->abandonMove(name);
+        else if (this->moves.contains(name))
+            this->advanceMove(name, control, now);
+        else if (control.isSettled(now) && !this->proposals.moveOpenFrom(name)
+                 && now >= this->nextMove[name])
+            this->beginMove(name, now);
+    }
+}
+
+// The server serves nothing any more: all its slots get other owners with one record.
+void OwnershipEngine::State::releaseLost(const core::ServerName &name, const ServerControl &control,
+                                         core::TimePoint now)
+{
+    this->moves.erase(name);
+    KeySet keys = this->owned[name];
+    keys.remove(this->proposals.withheldFrom(name));
+    if (keys.empty() || !this->logIsReachable(now))
+        return;
+    const ServerState *server = this->cluster->findServer(name);
+    const ServiceState *service = this->cluster->findService(server->service);
+    SlotRecord record;
+    record.service = server->service;
+    record.from = name;
+    record.fromEpoch = control.epoch();
+    record.release = control.wasGrantedHere() ? Release::LeaseExpired : Release::WaitedOut;
+    record.moves = this->placement->moveAway(this->view(now), *service, name);
+    const KeySet moved = keysOf(record);
+    KeySet open = moved;
+    open.remove(keys);
+    // Slots of an earlier move that is still open stay with it; the rest follows on its outcome.
+    if (!moved.empty() && open.empty())
+        this->proposals.propose(record, this->cluster->offset());
+}
+
+// Only before an append was attempted: the slots are admitted again.
+void OwnershipEngine::State::abandonMove(const core::ServerName &name)
+{
+    const auto move = this->moves.find(name);
+    if (move == this->moves.end())
+        return;
+    const KeySet keys = keysOf(move->second.record);
+    this->actions.emplace_back(ResumeAdmitting{name, keys.slotList(), keys.hotKeyList()});
+    this->moves.erase(move);
+}
+
+void OwnershipEngine::State::advanceMove(const core::ServerName &name, const ServerControl &control,
+                                         core::TimePoint)
+{
+    PlannedMove &move = this->moves.at(name);
+    if (!move.idle)
+        return;
+    if (move.revokeSequence == 0)
+        move.revokeSequence = control.nextSequence();
+    if (control.acceptedSequence() < move.revokeSequence)
+        return;
+    move.record.fromEpoch = control.epoch();
+    this->proposals.propose(move.record, this->cluster->offset());
+    this->moves.erase(name);
+}
+
+void OwnershipEngine::State::beginMove(const core::ServerName &name, core::TimePoint now)
+{
+    std::vector<SlotMove> chosen = this->chooseMoves(name, now);
+    if (chosen.empty())
+        return;
+    const ServerState *server = this->cluster->findServer(name);
+    PlannedMove move;
+    move.record.service = server->service;
+    move.record.from = name;
+    move.record.release = Release::Acknowledged;
+    move.record.moves = std::move(chosen);
+    move.deadline = now + this->requestTimeoutOf(*server);
+    const KeySet keys = keysOf(move.record);
+    this->actions.emplace_back(
+            StopAdmitting{name, keys.slotList(), keys.hotKeyList(), move.deadline});
+    this->moves.emplace(name, std::move(move));
+    if (this->cluster->acceptsSlots(name))
+        this->nextMove[name] = now + rebalanceInterval;
+}
+
+std::vector<SlotMove> OwnershipEngine::State::chooseMoves(const core::ServerName &name,
+                                                          core::TimePoint now)
+{
+    const KeySet &held = this->owned[name];
+    if (held.empty())
+        return {};
+    const PlacementView present = this->view(now);
+    const ServerState *server = this->cluster->findServer(name);
+    const ServiceState &service = *this->cluster->findService(server->service);
+    if (!this->cluster->acceptsSlots(name)) {
+        const std::size_t batch = std::max(drainBatch, (held.slots.size() + 3) / 4);
+        return firstOf(this->placement->moveAway(present, service, name), batch);
+    }
+    std::vector<SlotMove> moves =
+            this->placement->rebalance(present, service, name, rebalanceBatch);
+    return moves.empty() ? this->chooseHotKeyMove(name, present) : moves;
+}
+
+std::vector<SlotMove> OwnershipEngine::State::chooseHotKeyMove(const core::ServerName &name,
+                                                               const PlacementView &present)
+{
+    const auto found = this->hotKeys.find(name);
+    if (found == this->hotKeys.end())
+        return {};
+    const HotKey hot = found->second;
+    this->hotKeys.erase(found);
+    const ServerState *server = this->cluster->findServer(name);
+    const ServiceState &service = *this->cluster->findService(server->service);
+    if (hot.share < hotKeyShare || service.ownerOf(hot.key).server != name)
+        return {};
+    const std::optional<core::ServerName> target =
+            this->placement->placeHotKey(present, service, name);
+    if (!target)
+        return {};
+    return {SlotMove{*target, {}, {hot.key}}};
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/src/ownership_proposals.cpp
@@ -0,0 +1,241 @@
+// Changes that this instance proposes: controllers, successors, first owners, snapshots.
+#include "ownership_state.h"
+
+#include <algorithm>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+// The second successor lets the first one try before it.
+constexpr core::Duration delayPerSuccessor = std::chrono::milliseconds(150);
+
+// A successor silent this long is replaced; longer than the pauses that instances recover from.
+constexpr core::Duration successorSilence = std::chrono::milliseconds(600);
+
+// First owners are assigned once all servers of the service answer, or after this time.
+constexpr core::Duration assignmentPatience = std::chrono::seconds(1);
+
+constexpr core::Duration controllerMoveInterval = std::chrono::seconds(2);
+
+// Replay of this many records after a snapshot takes a fresh instance a fraction of a second.
+constexpr std::uint64_t recordsPerSnapshot = 512;
+
+// Time in which the preferred proposer of a snapshot is expected to have written it.
+constexpr core::Duration snapshotPatience = std::chrono::seconds(10);
+
+} // namespace
+
+void OwnershipEngine::State::pollProposals(core::TimePoint now)
+{
+    if (this->logIsFresh(now) && this->detector.hasList()) {
+        this->takeOver(now);
+        this->replaceAbandoned(now);
+        this->renewSuccessors(now);
+        this->voidDroppedMoves(now);
+        this->handOver(now);
+        this->balanceControllers(now);
+        this->assignControllers(now);
+        this->assignSlots(now);
+        this->requestSnapshot(now);
+    }
+    this->proposals.poll(now, this->actions);
+}
+
+// True once the turn of this instance to propose a change of the entity has come. The caller asks
+// only while the change is needed; `dueTimes` forgets what wasn't asked for lately.
+bool OwnershipEngine::State::isDue(const std::string &entity, core::TimePoint now)
+{
+    const auto found = this->dueTimes.find(entity);
+    if (found != this->dueTimes.end() && now < found->second + successorSilence)
+        return now >= found->second;
+    const core::TimePoint due = now + this->proposer.delayFor(entity, this->detector.usable(now));
+    this->dueTimes[entity] = due;
+    return now >= due;
+}
+
+void OwnershipEngine::State::changeController(const ServerState &server,
+                                              const core::InstanceId &controller,
+                                              core::TimePoint now, bool abandoned)
+{
+    const std::vector<core::InstanceId> keep =
+            server.controller ? server.controller->successors : std::vector<core::InstanceId>();
+    ControllerRecord record;
+    record.server = server.spec.name;
+    record.controller = controller;
+    record.successors =
+            this->placement->chooseSuccessors(this->view(now), server, controller, keep);
+    record.abandoned = abandoned;
+    this->proposals.propose(std::move(record), this->cluster->offset());
+}
+
+void OwnershipEngine::State::takeOver(core::TimePoint now)
+{
+    for (const auto &[name, server] : this->cluster->servers()) {
+        if (!server.controller || this->settings.self.leaving)
+            continue;
+        const std::vector<core::InstanceId> &named = server.controller->successors;
+        const auto own = std::find(named.begin(), named.end(), this->self());
+        if (own == named.end())
+            continue;
+        const core::Duration patience = this->settings.timings.silence
+                + delayPerSuccessor * static_cast<int>(own - named.begin());
+        const auto promise = this->promisesGiven.find(name);
+        const bool promised = promise != this->promisesGiven.end() && now < promise->second;
+        const bool silent = this->detector.silenceOf(server.controller->instance, now) >= patience;
+        if (silent && !promised
+            && !this->proposals.controllerChangeOpen(name, server.controller->epoch))
+            this->changeController(server, this->self(), now);
+    }
+}
+
+void OwnershipEngine::State::replaceAbandoned(core::TimePoint now)
+{
+    for (const auto &[name, server] : this->cluster->servers()) {
+        if (!server.controller || this->settings.self.leaving
+            || !this->detector.isGone(server.controller->instance, now))
+            continue;
+        const std::vector<core::InstanceId> &named = server.controller->successors;
+        const bool allGone =
+                std::all_of(named.begin(), named.end(), [&](const core::InstanceId &successor) {
+                    return this->detector.isGone(successor, now);
+                });
+        const auto promise = this->promisesGiven.find(name);
+        const bool promised = promise != this->promisesGiven.end() && now < promise->second;
+        if (allGone && !promised
+            && !this->proposals.controllerChangeOpen(name, server.controller->epoch)
+            && this->isDue("abandoned/" + name.value, now))
+            this->changeController(server, this->self(), now, true);
+    }
+}
+
+// An own change ends the authority by promises until replay shows it, so it is made only while
+// the log answers.
+void OwnershipEngine::State::renewSuccessors(core::TimePoint now)
+{
+    const std::vector<InstanceView> usable = this->detector.usable(now);
+    for (const auto &[name, control] : this->controls) {
+        const ServerState &server = *this->cluster->findServer(name);
+        const std::vector<core::InstanceId> &named = server.controller->successors;
+        if (this->proposals.controllerChangeOpen(name, control.epoch()))
+            continue;
+        const bool anySilent = std::any_of(named.begin(), named.end(), [&](const auto &successor) {
+            return this->detector.silenceOf(successor, now) >= successorSilence;
+        });
+        const bool anyLeaving = std::any_of(named.begin(), named.end(), [&](const auto &successor) {
+            return this->detector.phaseOf(successor, now) == InstancePhase::Draining;
+        });
+        const bool tooFew = named.size() < 2;
+        if (!anySilent && !anyLeaving && !tooFew)
+            continue;
+        const std::vector<core::InstanceId> better =
+                this->placement->chooseSuccessors(this->view(now), server, this->self(), named);
+        // A successor that can't be replaced stays: fewer successors mean fewer ways to recover.
+        const bool useful = better.size() > named.size()
+                || (better.size() == named.size() && better != named && (anySilent || anyLeaving));
+        if (useful && !this->settings.self.leaving)
+            this->changeController(server, this->self(), now);
+    }
+}
+
+// A copy of the dropped record may still arrive and apply then. Under a new epoch it can't.
+void OwnershipEngine::State::voidDroppedMoves(core::TimePoint now)
+{
+    for (const core::ServerName &name : this->proposals.serversToVoid()) {
+        const auto control = this->controls.find(name);
+        if (control != this->controls.end()
+            && !this->proposals.controllerChangeOpen(name, control->second.epoch()))
+            this->changeController(*this->cluster->findServer(name), this->self(), now);
+    }
+}
+
+void OwnershipEngine::State::handOver(core::TimePoint now)
+{
+    if (!this->settings.self.leaving)
+        return;
+    const std::vector<InstanceView> usable = this->detector.usable(now);
+    const auto isUsable = [&usable](const core::InstanceId &id) {
+        return std::any_of(usable.begin(), usable.end(),
+                           [&id](const InstanceView &each) { return each.id == id; });
+    };
+    for (const auto &[name, control] : this->controls) {
+        const ServerState &server = *this->cluster->findServer(name);
+        if (this->proposals.controllerChangeOpen(name, control.epoch()))
+            continue;
+        const std::vector<core::InstanceId> &named = server.controller->successors;
+        const auto next = std::find_if(named.begin(), named.end(), isUsable);
+        if (next != named.end())
+            this->changeController(server, *next, now);
+        else if (!usable.empty())
+            this->changeController(server, usable.front().id, now);
+    }
+}
+
+void OwnershipEngine::State::balanceControllers(core::TimePoint now)
+{
+    if (now < this->nextControllerMove || this->settings.self.leaving
+        || this->proposals.anyControllerChangeOpen())
+        return;
+    this->nextControllerMove = now + controllerMoveInterval;
+    const std::optional<ControllerRecord> move =
+            this->placement->moveController(this->view(now), this->self());
+    if (move && this->controls.contains(move->server)
+        && this->controls.at(move->server).isSettled(now))
+        this->proposals.propose(*move, this->cluster->offset());
+}
+
+void OwnershipEngine::State::assignControllers(core::TimePoint now)
+{
+    const bool missing =
+            std::any_of(this->cluster->servers().begin(), this->cluster->servers().end(),
+                        [](const auto &entry) { return !entry.second.controller.has_value(); });
+    if (!missing || this->settings.self.leaving)
+        return;
+    for (ControllerRecord &record : this->placement->chooseControllers(this->view(now))) {
+        if (!this->proposals.controllerChangeOpen(record.server, core::Epoch())
+            && this->isDue("controller/" + record.server.value, now))
+            this->proposals.propose(std::move(record), this->cluster->offset());
+    }
+}
+
+void OwnershipEngine::State::assignSlots(core::TimePoint now)
+{
+    for (const auto &[name, service] : this->cluster->services()) {
+        const bool missing =
+                std::any_of(service.slots.begin(), service.slots.end(),
+                            [](const SlotOwner &owner) { return owner.server.empty(); });
+        if (!missing || this->proposals.initialAssignmentOpen(name) || this->settings.self.leaving)
+            continue;
+        const PlacementView present = this->view(now);
+        const std::string patience = "patience/" + name.value;
+        if (!this->dueTimes.contains(patience))
+            this->dueTimes[patience] = now + assignmentPatience;
+        const bool allAnswer =
+                std::none_of(service.document.servers.begin(), service.document.servers.end(),
+                             [&](const BackendServer &server) {
+                                 return this->cluster->acceptsSlots(server.name)
+                                         && present.unreachable.contains(server.name);
+                             });
+        if (!allAnswer && now < this->dueTimes[patience])
+            continue;
+        SlotRecord record;
+        record.service = name;
+        record.moves = this->placement->assignUnowned(present, service);
+        if (!record.moves.empty() && this->isDue("slots/" + name.value, now))
+            this->proposals.propose(std::move(record), this->cluster->offset());
+    }
+}
+
+void OwnershipEngine::State::requestSnapshot(core::TimePoint now)
+{
+    const core::LogOffset offset = this->cluster->offset();
+    if (offset.value < this->cluster->snapshotOffset().value + recordsPerSnapshot)
+        return;
+    core::TimePoint &next = this->dueTimes["snapshotRequested"];
+    if (now < next || !this->isDue("snapshot", now))
+        return;
+    next = now + snapshotPatience;
+    this->actions.emplace_back(WriteSnapshot{offset});
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/src/ownership_state.h
@@ -0,0 +1,125 @@
+// Private parts of OwnershipEngine, shared by its sources.
+#pragma once
+
+#include "amaranthdale/decisions/failure_detector.h"
+#include "amaranthdale/decisions/ownership_engine.h"
+#include "amaranthdale/decisions/proposer.h"
+
+#include "key_set.h"
+#include "proposals.h"
+#include "server_control.h"
+
+#include <map>
+#include <set>
+
+namespace amaranthdale::decisions {
+
+// A planned move whose record has not been proposed yet.
+struct PlannedMove
+{
+    SlotRecord record;
+    core::TimePoint deadline;
+    bool idle = false;                // No request is in flight for the slots.
+    std::uint64_t revokeSequence = 0; // Grant that no longer contains the slots.
+};
+
+// What a peer said in its last heartbeat.
+struct PeerReport
+{
+    core::TimePoint at;
+    std::set<core::ServerName> reachable;
+};
+
+struct HotKey
+{
+    std::string key;
+    double share = 0;
+};
+
+struct OwnershipEngine::State
+{
+    State(OwnershipSettings settings, std::unique_ptr<AuthorityPolicy> policy,
+          std::unique_ptr<Placement> placement, core::TimePoint now);
+
+    // Facts.
+    void enter(core::TimePoint now);
+    void poll(core::TimePoint now);
+    HeartbeatReply replyTo(const Heartbeat &heartbeat, core::TimePoint now);
+    void replay(std::shared_ptr<const ClusterState> next, core::TimePoint now);
+    void noteOwnRecord(const LogRecord &record, core::LogOffset offset, const Applied &applied);
+
+    // Controllers (ownership_control.cpp).
+    void followControllers(core::TimePoint now);
+    void beginControl(const ServerState &server, core::TimePoint now);
+    TakeoverTimes timesFor(const ServerState &server, core::TimePoint now) const;
+    core::Duration requestTimeoutOf(const ServerState &server) const;
+    void followOwners(const ClusterState *before, core::TimePoint now);
+    std::optional<core::TimePoint> authorityUntil(const core::ServerName &server) const;
+    bool hasAuthority(const core::ServerName &server, core::TimePoint now) const;
+    bool logIsReachable(core::TimePoint now) const;
+    bool logIsFresh(core::TimePoint now) const;
+    void pollGrants(core::TimePoint now);
+    void sendHeartbeats(core::TimePoint now);
+    bool isOpen(const core::ServerName &server, const KeySet &keys) const;
+
+    // Moves of slots (ownership_moves.cpp).
+    void pollMoves(core::TimePoint now);
+    void releaseLost(const core::ServerName &name, const ServerControl &control,
+                     core::TimePoint now);
+    void abandonMove(const core::ServerName &name);
+    void advanceMove(const core::ServerName &name, const ServerControl &control,
+                     core::TimePoint now);
+    void beginMove(const core::ServerName &name, core::TimePoint now);
+    std::vector<SlotMove> chooseMoves(const core::ServerName &name, core::TimePoint now);
+    std::vector<SlotMove> chooseHotKeyMove(const core::ServerName &name, const PlacementView &view);
+
+    // Proposals (ownership_proposals.cpp).
+    void pollProposals(core::TimePoint now);
+    void takeOver(core::TimePoint now);
+    void replaceAbandoned(core::TimePoint now);
+    void renewSuccessors(core::TimePoint now);
+    void voidDroppedMoves(core::TimePoint now);
+    void handOver(core::TimePoint now);
+    void balanceControllers(core::TimePoint now);
+    void assignControllers(core::TimePoint now);
+    void assignSlots(core::TimePoint now);
+    void requestSnapshot(core::TimePoint now);
+    bool isDue(const std::string &entity, core::TimePoint now);
+    void changeController(const ServerState &server, const core::InstanceId &controller,
+                          core::TimePoint now, bool abandoned = false);
+
+    PlacementView view(core::TimePoint now) const;
+    bool isReachable(const ServerState &server, core::TimePoint now) const;
+    const core::InstanceId &self() const { return this->settings.self.id; }
+
+    OwnershipSettings settings;
+    std::unique_ptr<AuthorityPolicy> policy;
+    std::unique_ptr<Placement> placement;
+    Proposer proposer;
+    FailureDetector detector;
+    Proposals proposals;
+    std::shared_ptr<const ClusterState> cluster;
+    std::vector<OwnershipAction> actions;
+
+    core::TimePoint lastSeen; // Time of the last fact; a gap shows that the process was stalled.
+    core::TimePoint nextHeartbeat;
+    std::optional<core::TimePoint> logReadBegan;
+    std::optional<core::TimePoint> logReadAt;
+
+    // Invariant: controls has an entry exactly for the servers whose controller in `cluster` is
+    // this instance, with the epoch that `cluster` gives.
+    std::map<core::ServerName, ServerControl> controls;
+    std::map<core::ServerName, KeySet> owned;
+    std::map<core::ServerName, PlannedMove> moves;
+    std::map<core::ServerName, core::TimePoint> nextMove;
+    std::map<core::ServerName, HotKey> hotKeys;
+    std::map<core::ServerName, core::Epoch> renewedBySelf; // Own records met on replay.
+    std::map<core::ServerName, std::map<core::InstanceId, core::TimePoint>> promisesHeld;
+    std::map<core::ServerName, core::TimePoint> promisesGiven;
+    std::map<core::ServerName, std::pair<core::LogOffset, core::TimePoint>> abandonedSeen;
+    std::map<core::InstanceId, PeerReport> reports;
+    std::map<std::string, core::TimePoint> dueTimes;
+    core::TimePoint nextControllerMove;
+};
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/src/placement_slots.cpp
@@ -0,0 +1,168 @@
+// Placement of slots and hot keys on the backend servers of one service.
+#include "amaranthdale/decisions/placement.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <map>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+// Slots that a server owns and its share of all slots of the service.
+struct Share
+{
+    std::size_t owned = 0;
+    double target = 0;
+
+    bool isBelowCeiling() const { return static_cast<double>(this->owned) < this->target; }
+    bool isBelowFloor() const { return static_cast<double>(this->owned) + 1 <= this->target; }
+    bool isAboveCeiling() const { return static_cast<double>(this->owned) >= this->target + 1; }
+    double fill() const { return static_cast<double>(this->owned) / std::max(this->target, 1e-9); }
+};
+
+using Shares = std::map<core::ServerName, Share>;
+
+Shares sharesOf(const PlacementView &view, const ServiceState &service,
+                const core::ServerName &except)
+{
+    Shares shares;
+    double weights = 0;
+    for (const BackendServer &server : service.document.servers) {
+        const bool usable = view.state.acceptsSlots(server.name)
+                && !view.unreachable.contains(server.name) && server.name != except;
+        if (!usable)
+            continue;
+        shares[server.name].target = std::max(1U, server.requestSlots);
+        weights += shares[server.name].target;
+    }
+    for (auto &[name, share] : shares)
+        share.target *= static_cast<double>(service.slots.size()) / weights;
+    for (const SlotOwner &owner : service.slots) {
+        const auto found = shares.find(owner.server);
+        if (found != shares.end())
+            ++found->second.owned;
+    }
+    return shares;
+}
+
+// Server with room that ranks highest for the slot; the emptiest when none has room.
+core::ServerName receiverOf(const Shares &shares, const ServiceState &service, core::SlotIndex slot)
+{
+    const std::string entity = service.document.service.value + "/" + std::to_string(slot);
+    core::ServerName best;
+    std::uint64_t bestWeight = 0;
+    for (const auto &[name, share] : shares) {
+        const std::uint64_t weight = rendezvousWeight(entity, name.value);
+        if (share.isBelowCeiling() && (best.empty() || weight > bestWeight)) {
+            best = name;
+            bestWeight = weight;
+        }
+    }
+    if (!best.empty() || shares.empty())
+        return best;
+    return std::min_element(
+                   shares.begin(), shares.end(),
+                   [](const auto &a, const auto &b) { return a.second.fill() < b.second.fill(); })
+            ->first;
+}
+
+void addSlot(std::vector<SlotMove> &moves, const core::ServerName &to, core::SlotIndex slot)
+{
+    const auto found = std::find_if(moves.begin(), moves.end(),
+                                    [&to](const SlotMove &move) { return move.to == to; });
+    if (found == moves.end())
+        moves.push_back(SlotMove{to, {slot}, {}});
+    else
+        found->slots.push_back(slot);
+}
+
+// Gives every slot that `from` owns to the other servers.
+std::vector<SlotMove> distribute(const PlacementView &view, const ServiceState &service,
+                                 const core::ServerName &from)
+{
+    std::vector<SlotMove> moves;
+    Shares shares = sharesOf(view, service, from);
+    for (core::SlotIndex slot = 0; slot < service.slots.size(); ++slot) {
+        if (service.slots[slot].server != from)
+            continue;
+        const core::ServerName to = receiverOf(shares, service, slot);
+        if (to.empty())
+            return {};
+        ++shares[to].owned;
+        addSlot(moves, to, slot);
+    }
+    return moves;
+}
+
+} // namespace
+
+std::vector<SlotMove> RendezvousPlacement::assignUnowned(const PlacementView &view,
+                                                         const ServiceState &service) const
+{
+    return distribute(view, service, core::ServerName());
+}
+
+std::vector<SlotMove> RendezvousPlacement::moveAway(const PlacementView &view,
+                                                    const ServiceState &service,
+                                                    const core::ServerName &from) const
+{
+    std::vector<SlotMove> moves = distribute(view, service, from);
+    const std::optional<core::ServerName> keyTarget = this->placeHotKey(view, service, from);
+    for (const auto &[key, owner] : service.hotKeys) {
+        if (owner.server == from && keyTarget)
+            moves.push_back(SlotMove{*keyTarget, {}, {key}});
+    }
+    return moves;
+}
+
+// The plan covers all servers, so that controllers deciding on the same state don't overfill one.
+std::vector<SlotMove> RendezvousPlacement::rebalance(const PlacementView &view,
+                                                     const ServiceState &service,
+                                                     const core::ServerName &from,
+                                                     std::size_t most) const
+{
+    std::vector<SlotMove> moves;
+    Shares shares = sharesOf(view, service, core::ServerName());
+    std::size_t chosen = 0;
+    for (core::SlotIndex slot = 0; slot < service.slots.size() && chosen < most; ++slot) {
+        const core::ServerName &owner = service.slots[slot].server;
+        const auto source = shares.find(owner);
+        if (source == shares.end() || !source->second.isAboveCeiling())
+            continue;
+        Shares needy = shares;
+        std::erase_if(needy, [](const auto &entry) { return !entry.second.isBelowFloor(); });
+        const core::ServerName to = receiverOf(needy, service, slot);
+        if (to.empty())
+            break;
+        --source->second.owned;
+        ++shares[to].owned;
+        if (owner == from) {
+            addSlot(moves, to, slot);
+            ++chosen;
+        }
+    }
+    return moves;
+}
+
+std::optional<core::ServerName> RendezvousPlacement::placeHotKey(const PlacementView &view,
+                                                                 const ServiceState &service,
+                                                                 const core::ServerName &from) const
+{
+    Shares shares = sharesOf(view, service, from);
+    if (shares.empty())
+        return std::nullopt;
+    for (const auto &[key, owner] : service.hotKeys) {
+        const auto found = shares.find(owner.server);
+        // A hot key weighs as much as a tenth of a server's slots.
+        if (found != shares.end())
+            found->second.owned += static_cast<std::size_t>(found->second.target / 10) + 1;
+    }
+    return std::min_element(
+                   shares.begin(), shares.end(),
+                   [](const auto &a, const auto &b) { return a.second.fill() < b.second.fill(); })
+            ->first;
+}
+
+} // namespace amaranthdale::decisions
--- /dev/null
+++ b/libs/decisions/tests/ownership_check.cpp
@@ -0,0 +1,178 @@
+// What the model checks and measures at every step.
+#include "ownership_model.h"
+
+#include <algorithm>
+
+namespace amaranthdale::decisions::model {
+
+namespace {
+
+constexpr milliseconds latency(1);
+constexpr milliseconds requestTimeout(400);
+
+} // namespace
+
+ModelInstance *Model::findInstance(const core::InstanceId &id)
+{
+    for (const auto &instance : this->instances) {
+        if (instance->id() == id)
+            return instance.get();
+    }
+    return nullptr;
+}
+
+ModelServer *Model::findServer(const core::ServerName &name)
+{
+    for (const auto &server : this->servers) {
+        if (server->name == name.value)
+            return server.get();
+    }
+    return nullptr;
+}
+
+ModelServer &Model::serverOfSlot(core::SlotIndex slot)
+{
+    return *this->findServer(this->truth().services().begin()->second.slots[slot].server);
+}
+
+ModelInstance &Model::controllerOf(const ModelServer &server)
+{
+    const ServerState *state = this->truth().findServer(core::ServerName(server.name));
+    return *this->findInstance(state->controller->instance);
+}
+
+ModelInstance &Model::successorOf(const ModelServer &server, std::size_t index)
+{
+    const ServerState *state = this->truth().findServer(core::ServerName(server.name));
+    return *this->findInstance(state->controller->successors.at(index));
+}
+
+core::Duration Model::clockOf(const ModelServer &server) const
+{
+    return this->now().time_since_epoch() + server.clockOffset;
+}
+
+// True when the server would run a request for the slot, be it one that is still in its buffers.
+bool Model::holds(const ModelServer &server, core::SlotIndex slot) const
+{
+    if (!server.alive)
+        return false;
+    if (server.checksFence)
+        return server.slots.contains(slot) && this->clockOf(server) < server.expiresAt;
+    const core::ServerName name(server.name);
+    return std::any_of(this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+        return instance->runs() && instance->engine->mayServeSlot(name, slot, this->now());
+    });
+}
+
+bool Model::isServed(core::SlotIndex slot) const
+{
+    for (const auto &server : this->servers) {
+        if (!server->runs() || !this->holds(*server, slot))
+            continue;
+        const core::ServerName name(server->name);
+        for (const auto &instance : this->instances) {
+            if (!instance->runs() || !this->linked(instance->name, server->name))
+                continue;
+            const std::optional<core::Fence> fence =
+                    instance->engine->mayServeSlot(name, slot, this->now());
+            if (fence && (!server->checksFence || fence->epoch == server->fence.epoch))
+                return true;
+        }
+    }
+    return false;
+}
+
+// One request per slot; it runs when it is read before its deadline and the server lets it.
+void Model::sendRequests(ModelInstance &instance)
+{
+    for (const auto &server : this->servers) {
+        const core::ServerName name(server->name);
+        if (!instance.engine->mayServe(name, this->now()))
+            continue;
+        for (core::SlotIndex slot = 0; slot < this->settings.slots; ++slot) {
+            const auto fence = instance.engine->mayServeSlot(name, slot, this->now());
+            if (!fence)
+                continue;
+            ModelServer *target = server.get();
+            const core::TimePoint deadline = this->now() + requestTimeout;
+            this->send(instance, target, target->name, [this, target, slot, fence, deadline] {
+                const bool refused = target->checksFence
+                        && (fence->epoch != target->fence.epoch || !this->holds(*target, slot));
+                if (refused || this->now() > deadline)
+                    return;
+                for (const auto &other : this->servers) {
+                    if (other.get() != target && this->holds(*other, slot))
+                        this->breach("request for slot " + std::to_string(slot) + " ran on "
+                                     + target->name + " while " + other->name + " owns it");
+                }
+            });
+        }
+    }
+}
+
+void Model::check()
+{
+    for (core::SlotIndex slot = 0; slot < this->settings.slots; ++slot) {
+        const ModelServer *owner = nullptr;
+        for (const auto &server : this->servers) {
+            if (!this->holds(*server, slot))
+                continue;
+            if (owner)
+                this->breach("slot " + std::to_string(slot) + " is served by " + owner->name
+                             + " and " + server->name);
+            owner = server.get();
+        }
+    }
+    for (const auto &server : this->servers) {
+        const core::ServerName name(server->name);
+        const auto controllers = std::count_if(
+                this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+                    return instance->runs() && instance->engine->mayServe(name, this->now());
+                });
+        if (!server->checksFence && controllers > 1)
+            this->breach("two instances send to " + server->name + ", which checks no fence");
+    }
+}
+
+void Model::breach(std::string text)
+{
+    const auto at = std::chrono::duration_cast<milliseconds>(this->now().time_since_epoch());
+    if (this->breachList.size() < 5)
+        this->breachList.push_back(std::to_string(at.count()) + " ms: " + std::move(text));
+}
+
+void Model::startMeasuring()
+{
+    this->longest = core::Duration::zero();
+    this->interrupted.clear();
+    this->unservedSince.clear();
+}
+
+void Model::measure()
+{
+    for (core::SlotIndex slot = 0; slot < this->settings.slots; ++slot) {
+        if (this->isServed(slot)) {
+            this->unservedSince.erase(slot);
+            continue;
+        }
+        const auto since = this->unservedSince.try_emplace(slot, this->now()).first->second;
+        this->interrupted.insert(slot);
+        this->longest = std::max(this->longest, core::Duration(this->now() - since) + latency);
+    }
+}
+
+bool Model::statesAgree() const
+{
+    for (const auto &instance : this->instances) {
+        if (instance->runs() && *instance->state != this->replayedTruth)
+            return false;
+    }
+    return std::all_of(this->acknowledged.begin(), this->acknowledged.end(),
+                       [this](const RecordId &id) {
+                           return std::any_of(this->records.begin(), this->records.end(),
+                                              [&](const LogRecord &each) { return each.id == id; });
+                       });
+}
+
+} // namespace amaranthdale::decisions::model
--- /dev/null
+++ b/libs/decisions/tests/ownership_model.h
@@ -0,0 +1,156 @@
+// In-memory stand-ins for the log, backend servers, links and processes around several engines.
+#pragma once
+
+#include "amaranthdale/clock/manual_clock.h"
+#include "amaranthdale/decisions/ownership_engine.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace amaranthdale::decisions::model {
+
+using std::chrono::milliseconds;
+
+using PolicyFactory = std::function<std::unique_ptr<AuthorityPolicy>(const OwnershipTimings &)>;
+
+struct ModelSettings
+{
+    std::uint64_t seed = 1;
+    unsigned instances = 6;
+    unsigned servers = 6;
+    core::SlotIndex slots = 24;
+    bool checksFence = true;
+    PolicyFactory policy;
+};
+
+// A process that can be killed, frozen and resumed. What arrives while it is frozen waits in its
+// socket buffers.
+struct Process
+{
+    std::string name;
+    bool alive = true;
+    bool frozen = false;
+    std::uint64_t incarnation = 1;
+    std::deque<std::function<void()>> backlog;
+
+    bool runs() const { return this->alive && !this->frozen; }
+};
+
+struct ModelInstance : Process
+{
+    core::DataCentreName dataCentre;
+    std::unique_ptr<OwnershipEngine> engine;
+    std::shared_ptr<ClusterState> state;
+    bool reading = false;
+
+    core::InstanceId id() const
+    {
+        return {core::InstanceName(this->name), core::Incarnation(this->incarnation)};
+    }
+};
+
+struct ModelServer : Process
+{
+    core::DataCentreName dataCentre;
+    bool checksFence = true;
+    core::Duration clockOffset{};
+    core::Fence fence;
+    core::Duration expiresAt{};
+    std::set<core::SlotIndex> slots;
+};
+
+class Model
+{
+public:
+    explicit Model(ModelSettings settings);
+
+    void run(core::Duration time);
+
+    // Runs until every slot is served; false when that takes longer than `limit`.
+    bool settle(core::Duration limit = std::chrono::seconds(10));
+
+    // Faults.
+    void kill(Process &process);
+    void freeze(Process &process) { process.frozen = true; }
+    void resume(Process &process);
+    void restartInstance(ModelInstance &instance); // A new process, without any state.
+    void restartServer(ModelServer &server);
+    void cut(const std::string &from, const std::string &to) { this->cuts.insert({from, to}); }
+    void isolate(const std::set<std::string> &side); // Both ways, from all that aren't in it.
+    void heal() { this->cuts.clear(); }
+    void append(RecordBody body); // As an operator.
+
+    bool logDown = false;
+    double lostResponses = 0;     // Share of appends whose response is lost.
+    core::Duration appendDelay{}; // Further time until an append takes effect.
+    bool listLags = false;        // The platform's list stands still.
+
+    ModelServer &serverOfSlot(core::SlotIndex slot);
+    ModelInstance &controllerOf(const ModelServer &server);
+    ModelInstance &successorOf(const ModelServer &server, std::size_t index);
+    ModelInstance *findInstance(const core::InstanceId &id);
+    bool isServed(core::SlotIndex slot) const;
+
+    // Longest time for which a slot wasn't served, and how many slots ever weren't, since
+    // `startMeasuring`.
+    void startMeasuring();
+    core::Duration longestGap() const { return this->longest; }
+    std::size_t slotsInterrupted() const { return this->interrupted.size(); }
+
+    const std::vector<std::string> &breaches() const { return this->breachList; }
+    bool statesAgree()
+            const; // All live instances replayed the same state, acknowledged records in.
+    std::size_t logSize() const { return this->records.size(); }
+    const ClusterState &truth() const { return this->replayedTruth; }
+
+    std::vector<std::unique_ptr<ModelInstance>> instances;
+    std::vector<std::unique_ptr<ModelServer>> servers;
+    clock::ManualClock clock;
+
+private:
+    using Task = std::function<void()>;
+
+    core::TimePoint now() const { return this->clock.now(); }
+    bool linked(const std::string &from, const std::string &to) const;
+    void send(Process &from, Process *to, const std::string &toName, Task task);
+    void deliver(Process &to, std::uint64_t incarnation, Task task);
+    void start(ModelInstance &instance);
+    void step();
+    void carryOut(ModelInstance &instance);
+    void carryOut(ModelInstance &instance, const OwnershipAction &action);
+    void probe(ModelInstance &instance, const core::ServerName &name, const SendGrant *grant);
+    ServerAnswer answerOf(ModelServer &server, const SendGrant *grant);
+    void appendFrom(ModelInstance &instance, const LogRecord &record);
+    void takeEffect(const LogRecord &record, core::LogOffset *offset);
+    void readLog(ModelInstance &instance);
+    void replayUpTo(ModelInstance &instance, std::size_t tail, core::TimePoint began);
+    void fetchList(ModelInstance &instance);
+    void sendRequests(ModelInstance &instance);
+    ModelServer *findServer(const core::ServerName &name);
+    core::Duration clockOf(const ModelServer &server) const;
+    bool holds(const ModelServer &server, core::SlotIndex slot) const;
+    void check();
+    void measure();
+    void breach(std::string text);
+
+    ModelSettings settings;
+    std::mt19937_64 random;
+    std::vector<LogRecord> records;
+    std::set<RecordId> acknowledged;
+    ClusterState replayedTruth;
+    std::vector<InstanceView> listing;
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::uint64_t steps = 0;
+    std::uint64_t lastIncarnation = 100;
+    std::uint64_t operatorRecords = 0;
+    std::vector<std::string> breachList;
+    std::map<core::SlotIndex, core::TimePoint> unservedSince;
+    std::set<core::SlotIndex> interrupted;
+    core::Duration longest{};
+};
+
+} // namespace amaranthdale::decisions::model
