--- /dev/null
+++ b/libs/history/src/events.cpp
@@ -0,0 +1,251 @@
+// JSON form of events.
+#include "amaranthdale/history/events.h"
+
+#include "amaranthdale/records/object_reader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace amaranthdale::history {
+
+namespace json = boost::json;
+using records::Fault;
+using records::Faults;
+using records::ObjectReader;
+using records::Presence;
+
+namespace {
+
+constexpr std::size_t longestText = 1024 * 1024;
+constexpr std::uint64_t anyNumber = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t latestTime = std::numeric_limits<std::int64_t>::max() / 2;
+constexpr unsigned anyCount = std::numeric_limits<unsigned>::max();
+constexpr core::SlotIndex anySlot = std::numeric_limits<core::SlotIndex>::max();
+
+// Names of the values of the enumerations, in their order.
+constexpr std::array<std::string_view, 3> outcomeNames = {"answered", "notRun", "unknown"};
+constexpr std::array<std::string_view, 4> checkNames = {"none", "right", "wrong", "short"};
+
+std::uint64_t number(WallTime time)
+{
+    return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+json::string nameOf(std::string_view name)
+{
+    return json::string(name.data(), name.size());
+}
+
+void readTime(ObjectReader &reader, std::string_view name, WallTime &time)
+{
+    std::uint64_t microseconds = 0;
+    reader.integer(name, microseconds, std::uint64_t(0), latestTime);
+    time = WallTime(std::chrono::microseconds(static_cast<std::int64_t>(microseconds)));
+}
+
+template<class Enumeration, std::size_t count>
+void readEnum(ObjectReader &reader, std::string_view name,
+              const std::array<std::string_view, count> &names, Enumeration &value)
+{
+    std::string text;
+    reader.text(name, text, longestText);
+    const auto found = std::find(names.begin(), names.end(), text);
+    if (found == names.end())
+        return reader.fault(name, "unknown value; use one that this version writes");
+    value = static_cast<Enumeration>(found - names.begin());
+}
+
+json::object toJson(const StartEvent &event)
+{
+    return {{"kind", "start"},
+            {"at", number(event.at)},
+            {"server", event.server.value},
+            {"incarnation", event.incarnation.value}};
+}
+
+void read(ObjectReader &reader, StartEvent &event)
+{
+    readTime(reader, "at", event.at);
+    reader.name("server", event.server);
+    reader.number("incarnation", event.incarnation);
+}
+
+void addFence(json::object &object, const core::Fence &fence)
+{
+    object["epoch"] = fence.epoch.value;
+    object["sequence"] = fence.sequence;
+}
+
+void readFence(ObjectReader &reader, core::Fence &fence)
+{
+    reader.number("epoch", fence.epoch);
+    reader.integer("sequence", fence.sequence, std::uint64_t(0), anyNumber);
+}
+
+json::object toJson(const GrantEvent &event)
+{
+    json::array slots;
+    for (const SlotRange &range : event.slots)
+        slots.push_back(json::object{{"first", range.first}, {"last", range.last}});
+    json::array keys;
+    for (const std::string &key : event.hotKeys)
+        keys.push_back(json::object{{"key", key}});
+    json::object result = {{"kind", "grant"},
+                           {"at", number(event.at)},
+                           {"until", number(event.until)},
+                           {"server", event.server.value},
+                           {"service", event.service.value},
+                           {"slots", slots},
+                           {"hotKeys", keys}};
+    addFence(result, event.fence);
+    return result;
+}
+
+void read(ObjectReader &reader, GrantEvent &event)
+{
+    readTime(reader, "at", event.at);
+    readTime(reader, "until", event.until);
+    reader.name("server", event.server);
+    reader.name("service", event.service);
+    readFence(reader, event.fence);
+    reader.objects("slots", Presence::Required, [&event](ObjectReader &each) {
+        SlotRange &range = event.slots.emplace_back();
+        each.integer("first", range.first, core::SlotIndex(0), anySlot);
+        each.integer("last", range.last, range.first, anySlot);
+    });
+    reader.objects("hotKeys", Presence::Required, [&event](ObjectReader &each) {
+        each.text("key", event.hotKeys.emplace_back(), longestText);
+    });
+}
+
+json::object toJson(const RunEvent &event)
+{
+    json::object result = {{"kind", "run"},
+                           {"at", number(event.at)},
+                           {"server", event.server.value},
+                           {"service", event.service.value},
+                           {"requestId", event.requestId.value},
+                           {"method", event.method},
+                           {"hotKey", event.hotKey},
+                           {"running", event.running},
+                           {"limit", event.limit}};
+    if (event.slot)
+        result["slot"] = *event.slot;
+    addFence(result, event.fence);
+    return result;
+}
+
+void read(ObjectReader &reader, RunEvent &event)
+{
+    readTime(reader, "at", event.at);
+    reader.name("server", event.server);
+    reader.name("service", event.service);
+    reader.text("requestId", event.requestId.value, longestText);
+    reader.text("method", event.method, longestText);
+    if (reader.has("slot"))
+        reader.integer("slot", event.slot.emplace(), core::SlotIndex(0), anySlot);
+    reader.text("hotKey", event.hotKey, longestText);
+    readFence(reader, event.fence);
+    reader.integer("running", event.running, 0U, anyCount);
+    reader.integer("limit", event.limit, 0U, anyCount);
+}
+
+json::object toJson(const CallEvent &event)
+{
+    return {{"kind", "call"},
+            {"at", number(event.at)},
+            {"until", number(event.until)},
+            {"requestId", event.requestId.value},
+            {"service", event.service.value},
+            {"method", event.method},
+            {"idempotent", event.idempotent},
+            {"outcome", nameOf(outcomeNames[static_cast<std::size_t>(event.outcome)])},
+            {"response", nameOf(checkNames[static_cast<std::size_t>(event.response)])},
+            {"status", event.status}};
+}
+
+void read(ObjectReader &reader, CallEvent &event)
+{
+    readTime(reader, "at", event.at);
+    readTime(reader, "until", event.until);
+    reader.text("requestId", event.requestId.value, longestText);
+    reader.name("service", event.service);
+    reader.text("method", event.method, longestText);
+    reader.flag("idempotent", event.idempotent);
+    readEnum(reader, "outcome", outcomeNames, event.outcome);
+    readEnum(reader, "response", checkNames, event.response);
+    reader.integer("status", event.status, 0U, anyCount);
+}
+
+json::object toJson(const AppendEvent &event)
+{
+    return {{"kind", "append"},
+            {"at", number(event.at)},
+            {"offset", event.offset.value},
+            {"body", event.body}};
+}
+
+void read(ObjectReader &reader, AppendEvent &event)
+{
+    readTime(reader, "at", event.at);
+    reader.number("offset", event.offset);
+    reader.text("body", event.body, longestText);
+}
+
+template<class Kind>
+Event readKind(ObjectReader &reader)
+{
+    Kind event;
+    read(reader, event);
+    return event;
+}
+
+Event readEvent(ObjectReader &reader)
+{
+    std::string kind;
+    reader.text("kind", kind, longestText);
+    if (kind == "start")
+        return readKind<StartEvent>(reader);
+    if (kind == "grant")
+        return readKind<GrantEvent>(reader);
+    if (kind == "run")
+        return readKind<RunEvent>(reader);
+    if (kind == "call")
+        return readKind<CallEvent>(reader);
+    if (kind == "append")
+        return readKind<AppendEvent>(reader);
+    reader.fault("kind", "unknown kind of event; read it with the version that wrote it");
+    return {};
+}
+
+} // namespace
+
+std::string encodeEvent(const Event &event)
+{
+    return json::serialize(std::visit([](const auto &each) { return toJson(each); }, event));
+}
+
+records::Checked<Event> decodeEvent(std::string_view line)
+{
+    Faults faults;
+    Event event;
+    if (const std::optional<json::value> value = records::parseJson(line, faults)) {
+        ObjectReader reader(*value, "", faults);
+        event = readEvent(reader);
+        reader.finish();
+    }
+    if (!faults.empty())
+        return faults;
+    return event;
+}
+
+WallTime timeOf(const Event &event)
+{
+    return std::visit([](const auto &each) { return each.at; }, event);
+}
+
+} // namespace amaranthdale::history
