--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -35,6 +35,8 @@
 {
     std::string name;
     std::string value;
+
+    bool operator==(const Header &) const = default;
 };
 
 using Headers = std::vector<Header>;
--- /dev/null
+++ b/libs/daemon/src/caller_request.h
@@ -0,0 +1,93 @@
+// One request of a caller, from its arrival at this entry instance to its response or refusal.
+#pragma once
+
+#include "amaranthdale/clock/clock.h"
+#include "amaranthdale/decisions/retry_policy.h"
+#include "amaranthdale/decisions/routing.h"
+#include "amaranthdale/decisions/server_selector.h"
+#include "amaranthdale/report/recorder.h"
+#include "forward.h"
+#include "load_board.h"
+#include "tables.h"
+
+#include <memory>
+#include <mutex>
+
+namespace amaranthdale::daemon {
+
+/// Shared state of all requests that entered here.
+struct EntryTable
+{
+    decisions::RandomSource random;
+    decisions::RetryBudget budget;
+    std::unique_ptr<decisions::RetryPolicy> retry;
+    std::unique_ptr<decisions::HedgePolicy> hedge;
+    std::unique_ptr<decisions::ServerSelector> selector;
+    LoadBoard board;
+    std::size_t waiting = 0; // Requests that wait for a server to get an owner or a controller.
+
+    explicit EntryTable(std::uint64_t seed);
+};
+
+/// What requests use. All must outlive every request.
+struct EntryContext
+{
+    const Tables &shared;
+    tables::Guarded<EntryTable> &entry;
+    clock::Clock &clock;
+    Forwarder &forwarder;
+    report::Recorder &recorder;
+};
+
+/// Tries servers until one answers, or until a refusal has to be given. Thread-safe.
+class CallerRequest : public core::Exchange, public std::enable_shared_from_this<CallerRequest>
+{
+public:
+    CallerRequest(EntryContext entryContext, decisions::RoutedRequest routedRequest, bool keyed,
+                  core::HttpRequest original, core::ResponseHandler respond);
+
+    void start();
+    void cancel() override;
+
+private:
+    // A forwarded request that has not ended.
+    struct Attempt
+    {
+        unsigned number = 0;
+        core::ServerName server;
+        std::shared_ptr<core::Exchange> exchange;
+    };
+
+    void attempt(bool hedge);
+    std::optional<core::ServerName> chooseServer(const core::ServerName &except);
+    void scheduleHedge();
+    void attemptEnded(unsigned number, const core::ServerName &server, ForwardResult result);
+    bool forgetAttempt(unsigned number);
+    void decideAfter(const ForwardResult &result);
+    void waitForOwner(const ForwardResult &result);
+    void again(core::Duration delay);
+    void answer(const core::ServerName &server, ForwardResult result);
+    void giveUp(const ForwardResult &result);
+    bool claimEnd();
+    void cancelOthers();
+    void record(const core::ServerName &server, report::RequestOutcome outcome,
+                report::NotRunReason reason);
+
+    EntryContext context;
+    const decisions::RoutedRequest routed;
+    const bool keyedService;
+    const core::TimePoint arrivedAt;
+    core::HttpRequest request;
+    core::ResponseHandler handler;
+
+    std::mutex mutex; // A leaf: nothing is called under it. Guards all below.
+    std::vector<Attempt> attempts;
+    core::ServerName lastServer;
+    unsigned attemptCount = 0;
+    unsigned connectionsLost = 0;
+    bool hedged = false;
+    bool mayHaveRun = false; // An attempt ended without a certain outcome.
+    bool ended = false;      // True once the caller has its end, or went away.
+};
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/control_actions.cpp
@@ -0,0 +1,271 @@
+// How each action of the ownership engine is carried out.
+#include "control_loop.h"
+
+#include "amaranthdale/core/hash.h"
+#include "amaranthdale/records/record_codec.h"
+#include "amaranthdale/records/state_codec.h"
+#include "heartbeat_codec.h"
+#include "server_protocol.h"
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+constexpr core::Duration appendTimeout = std::chrono::milliseconds(1000);
+// A grant or load query that takes longer than a renewal interval is given up: the next one
+// follows.
+constexpr core::Duration serverTimeout = std::chrono::milliseconds(100);
+constexpr core::Duration heartbeatTimeout = std::chrono::milliseconds(200);
+constexpr core::Duration ledgerTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t largestAnswer = 64 * 1024;
+constexpr std::size_t largestLedger = 32 * 1024 * 1024;
+
+} // namespace
+
+void ControlLoop::askServer(const core::ServerName &server, core::HttpRequest request,
+                            core::Fence fence)
+{
+    const StatePointer state = this->context.shared.state();
+    const decisions::ServerState *known = state->findServer(server);
+    decisions::ServerAnswer asked;
+    asked.server = server;
+    asked.fence = fence;
+    asked.sentAt = this->context.clock.now();
+    if (!known)
+        return this->serverResponded(asked, core::Error{core::ErrorKind::NotFound, ""}, 0);
+    this->context.backends.send(known->spec.endpoint, std::move(request), serverTimeout,
+                                [this, asked](core::Outcome<core::HttpResponse> response) {
+                                    if (!response)
+                                        return this->serverResponded(asked, response.error(), 0);
+                                    const unsigned status = response->status;
+                                    core::readWholeBody(
+                                            response->body, largestAnswer,
+                                            [this, asked, status](core::Outcome<std::string> body) {
+                                                this->serverResponded(asked, body, status);
+                                            });
+                                });
+}
+
+void ControlLoop::serverResponded(decisions::ServerAnswer answer,
+                                  const core::Outcome<std::string> &body, unsigned status)
+{
+    const auto parsed = body ? core::attempt([&] { return parseServerStatus(*body); })
+                             : core::Outcome<ServerStatus>(body.error());
+    if (parsed) {
+        answer = classifyAnswer(answer, status, *parsed);
+        if (const auto runner = this->context.shared.runner(answer.server))
+            runner->decide([&](decisions::ServerDispatcher &dispatcher, core::TimePoint now) {
+                return dispatcher.reportReceived(
+                        {parsed->incarnation, parsed->inFlight, parsed->load}, now);
+            });
+    }
+    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        engine.serverAnswered(answer, now);
+    });
+}
+
+void ControlLoop::perform(const decisions::ProbeServer &action)
+{
+    this->askServer(action.server, loadQuery(), {});
+}
+
+void ControlLoop::perform(const decisions::SendGrant &action)
+{
+    this->askServer(action.server, grantRequest(action), action.fence);
+}
+
+void ControlLoop::perform(const decisions::AppendRecord &action)
+{
+    this->context.logService.append(
+            records::encodeRecord(action.record), appendTimeout,
+            [this, id = action.record.id](core::Outcome<core::LogOffset> offset) {
+                this->appendEnded(id, offset);
+            });
+}
+
+void ControlLoop::perform(const decisions::SendHeartbeat &action)
+{
+    const auto endpoint = this->context.shared.membership.with(
+            [&](const MembershipTable &table) -> std::optional<core::Endpoint> {
+                const auto found = table.listed.find(action.to.name);
+                if (found == table.listed.end())
+                    return std::nullopt;
+                return found->second.peerEndpoint;
+            });
+    if (!endpoint)
+        return;
+    const core::TimePoint sentAt = this->context.clock.now();
+    peer::Heartbeat message = toMessage(action.heartbeat, this->logAge());
+    addCrashes(message, *this->context.shared.crashFilter, sentAt);
+    core::HttpRequest request;
+    request.method = "POST";
+    request.target = heartbeatPath;
+    const auto encoded = core::attempt([&] { return peer::encodeHeartbeat(message); });
+    if (!encoded)
+        return;
+    request.body = *encoded;
+    this->context.peers.send(
+            *endpoint, std::move(request), heartbeatTimeout,
+            [this, sentAt](core::Outcome<core::HttpResponse> response) {
+                if (!response || response->status != 200)
+                    return;
+                core::readWholeBody(
+                        response->body, largestAnswer,
+                        [this, sentAt](core::Outcome<std::string> body) {
+                            if (!body)
+                                return;
+                            const auto reply = core::attempt(
+                                    [&] { return peer::decodeHeartbeatReply(*body); });
+                            if (!reply)
+                                return;
+                            this->context.shared.membership.with([&](MembershipTable &table) {
+                                table.heard[reply->sender.name] =
+                                        PeerReport{reply->sender, reply->newestOffset,
+                                                   this->context.clock.now()};
+                            });
+                            this->tell(
+                                    [&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+                                        engine.heartbeatAnswered(toFact(*reply), sentAt, now);
+                                    });
+                        });
+            });
+}
+
+void ControlLoop::perform(const decisions::StopAdmitting &action)
+{
+    const auto idle = [this, server = action.server] {
+        this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+            engine.slotsIdle(server, now);
+        });
+    };
+    const auto runner = this->context.shared.runner(action.server);
+    if (!runner)
+        return idle();
+    {
+        std::lock_guard lock(this->hotKeyMutex);
+        this->movingHotKeys[action.server].insert(action.hotKeys.begin(), action.hotKeys.end());
+    }
+    runner->pauseSlots(this->slotsOf(action.server, action.slots, action.hotKeys), action.deadline,
+                       idle);
+}
+
+void ControlLoop::perform(const decisions::ResumeAdmitting &action)
+{
+    const auto runner = this->context.shared.runner(action.server);
+    if (!runner)
+        return;
+    {
+        std::lock_guard lock(this->hotKeyMutex);
+        for (const std::string &key : action.hotKeys)
+            this->movingHotKeys[action.server].erase(key);
+    }
+    const auto slots = this->slotsOf(action.server, action.slots, action.hotKeys);
+    runner->decide([&slots](decisions::ServerDispatcher &dispatcher, core::TimePoint) {
+        for (core::SlotIndex slot : slots)
+            dispatcher.resumeSlot(slot);
+        return decisions::Actions();
+    });
+}
+
+void ControlLoop::perform(const decisions::StopServer &action)
+{
+    if (const auto runner = this->context.shared.runner(action.server))
+        runner->decide([](decisions::ServerDispatcher &dispatcher, core::TimePoint now) {
+            return dispatcher.authorityLost(now);
+        });
+}
+
+void ControlLoop::perform(const decisions::CancelRequests &action)
+{
+    if (const auto runner = this->context.shared.runner(action.server))
+        runner->cancelInFlight();
+}
+
+void ControlLoop::perform(const decisions::FetchLedger &action)
+{
+    const auto endpoint = this->context.shared.membership.with(
+            [&](const MembershipTable &table) -> std::optional<core::Endpoint> {
+                const auto found = table.listed.find(action.from.name);
+                if (found == table.listed.end())
+                    return std::nullopt;
+                return found->second.peerEndpoint;
+            });
+    const StatePointer state = this->context.shared.state();
+    const decisions::ServerState *server = state->findServer(action.server);
+    if (!endpoint || !server)
+        return;
+    peer::LedgerRequest message;
+    message.service = server->service;
+    message.slots = this->slotsOf(action.server, action.slots, action.hotKeys);
+    core::HttpRequest request;
+    request.method = "POST";
+    request.target = ledgerPath;
+    const auto encoded = core::attempt([&] { return peer::encodeLedgerRequest(message); });
+    if (!encoded)
+        return;
+    request.body = *encoded;
+    this->context.peers.send(
+            *endpoint, std::move(request), ledgerTimeout,
+            [this, name = action.server](core::Outcome<core::HttpResponse> response) {
+                if (!response || response->status != 200)
+                    return;
+                core::readWholeBody(
+                        response->body, largestLedger,
+                        [this, name](core::Outcome<std::string> body) {
+                            if (!body)
+                                return;
+                            const auto reply =
+                                    core::attempt([&] { return peer::decodeLedgerReply(*body); });
+                            const auto runner = this->context.shared.runner(name);
+                            if (!reply || !runner)
+                                return;
+                            runner->decide([&](decisions::ServerDispatcher &dispatcher,
+                                               core::TimePoint now) {
+                                for (const decisions::SlotMemory &memory : toMemories(*reply))
+                                    dispatcher.importSlot(memory, now);
+                                return decisions::Actions();
+                            });
+                        });
+            });
+}
+
+void ControlLoop::perform(const decisions::WriteSnapshot &)
+{
+    const StatePointer state = this->context.shared.state();
+    const core::LogOffset covers = state->offset();
+    const auto pieces = records::splitState(covers, records::encodeState(*state));
+    this->context.log.write(
+            log::Severity::Info, "snapshot-begun",
+            {{"covers", std::to_string(covers.value)}, {"pieces", std::to_string(pieces.size())}});
+    for (const decisions::SnapshotRecord &piece : pieces) {
+        decisions::LogRecord record;
+        record.id = {this->context.self, this->snapshotSequence++};
+        record.basedOn = covers;
+        record.body = piece;
+        this->context.logService.append(
+                records::encodeRecord(record), appendTimeout,
+                [this, covers](const core::Outcome<core::LogOffset> &offset) {
+                    if (!offset)
+                        this->context.log.write(log::Severity::Warning, "snapshot-piece-failed",
+                                                {{"covers", std::to_string(covers.value)},
+                                                 {"message", offset.error().message}});
+                });
+    }
+}
+
+std::vector<core::SlotIndex> ControlLoop::slotsOf(const core::ServerName &server,
+                                                  const std::vector<core::SlotIndex> &slots,
+                                                  const std::vector<std::string> &hotKeys) const
+{
+    std::vector<core::SlotIndex> all = slots;
+    const StatePointer state = this->context.shared.state();
+    const decisions::ServerState *known = state->findServer(server);
+    const decisions::ServiceState *service = known ? state->findService(known->service) : nullptr;
+    if (!service)
+        return all;
+    for (const std::string &key : hotKeys)
+        all.push_back(core::slotOf(key, service->document.hashSeed, service->document.hashSlots));
+    return all;
+}
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/control_loop.cpp
@@ -0,0 +1,233 @@
+// Facts for the ownership engine, and the order in which its actions are carried out.
+#include "control_loop.h"
+
+#include "amaranthdale/core/hash.h"
+#include "heartbeat_codec.h"
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+// Sequence numbers from here on belong to snapshots, below to the ownership engine.
+constexpr std::uint64_t firstSnapshotSequence = std::uint64_t(1) << 62;
+
+} // namespace
+
+ControlLoop::ControlLoop(ControlContext controlContext)
+    : context(std::move(controlContext)), logAge([] { return core::Duration::max(); }),
+      snapshotSequence(firstSnapshotSequence)
+{ }
+
+void ControlLoop::start()
+{
+    this->tell([](decisions::OwnershipEngine &engine, core::TimePoint now) { engine.tick(now); });
+}
+
+void ControlLoop::stop()
+{
+    this->stopped = true;
+    std::lock_guard lock(this->timerMutex);
+    this->context.clock.cancel(this->timer);
+}
+
+void ControlLoop::tell(const Fact &fact)
+{
+    const core::TimePoint now = this->context.clock.now();
+    const core::TimePoint wakeup = this->context.shared.ownership.with([&](OwnershipTable &table) {
+        fact(table.engine, now);
+        for (auto &action : table.engine.takeActions())
+            table.actions.push_back(std::move(action));
+        return table.engine.nextWakeup();
+    });
+    this->performAll();
+    this->arm(wakeup);
+}
+
+void ControlLoop::performAll()
+{
+    const bool claimed = this->context.shared.ownership.with(
+            [](OwnershipTable &table) { return !std::exchange(table.performing, true); });
+    if (!claimed)
+        return;
+    for (;;) {
+        const auto action = this->context.shared.ownership.with(
+                [](OwnershipTable &table) -> std::optional<decisions::OwnershipAction> {
+                    if (table.actions.empty()) {
+                        table.performing = false;
+                        return std::nullopt;
+                    }
+                    auto next = std::move(table.actions.front());
+                    table.actions.pop_front();
+                    return next;
+                });
+        if (!action)
+            return;
+        std::visit([this](const auto &each) { this->perform(each); }, *action);
+    }
+}
+
+void ControlLoop::arm(core::TimePoint wakeup)
+{
+    if (this->stopped)
+        return;
+    std::lock_guard lock(this->timerMutex);
+    const bool pending =
+            this->timerAt > this->context.clock.now() && this->timerAt != core::TimePoint::max();
+    if (pending && this->timerAt <= wakeup)
+        return;
+    this->context.clock.cancel(this->timer);
+    this->timerAt = wakeup;
+    this->timer = this->context.clock.schedule(wakeup, [this] {
+        if (this->stopped)
+            return;
+        {
+            std::lock_guard timerLock(this->timerMutex);
+            this->timerAt = core::TimePoint::max();
+        }
+        this->tell(
+                [](decisions::OwnershipEngine &engine, core::TimePoint now) { engine.tick(now); });
+    });
+}
+
+peer::HeartbeatReply ControlLoop::heartbeatReceived(const peer::Heartbeat &heartbeat)
+{
+    const core::TimePoint now = this->context.clock.now();
+    this->context.shared.membership.with([&](MembershipTable &table) {
+        table.heard[heartbeat.sender.name] =
+                PeerReport{heartbeat.sender, heartbeat.newestOffset, now};
+    });
+    mergeCrashes(heartbeat, *this->context.shared.crashFilter, now);
+    decisions::HeartbeatReply reply;
+    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint at) {
+        reply = engine.heartbeatReceived(toFact(heartbeat), at);
+    });
+    return toMessage(reply, this->context.shared.state()->offset(), this->logAge(),
+                     this->context.promise);
+}
+
+void ControlLoop::instancesListed(const std::vector<platform::ListedInstance> &instances)
+{
+    std::vector<decisions::InstanceView> views;
+    for (const platform::ListedInstance &instance : instances)
+        views.push_back({instance.id, instance.dataCentre, instance.leaving});
+    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        engine.instancesListed(views, now);
+    });
+}
+
+void ControlLoop::leave()
+{
+    this->tell([](decisions::OwnershipEngine &engine, core::TimePoint now) { engine.leave(now); });
+}
+
+bool ControlLoop::hasLeft() const
+{
+    return this->context.shared.ownership.with(
+            [](const OwnershipTable &table) { return table.engine.hasLeft(); });
+}
+
+void ControlLoop::recordApplied(core::LogOffset offset, const decisions::LogRecord &record,
+                                const decisions::Applied &applied)
+{
+    if (!applied.accepted) {
+        this->context.log.write(log::Severity::Info, "record-dropped",
+                                {{"offset", std::to_string(offset.value)},
+                                 {"proposer", record.id.proposer.name.value},
+                                 {"reason", applied.reason}});
+    } else if (const auto *slots = std::get_if<decisions::SlotRecord>(&record.body)) {
+        if (slots->release == decisions::Release::Initial)
+            this->initialAssignments.insert(offset);
+        this->recordOwnership(*slots);
+    } else if (const auto *document = std::get_if<decisions::DocumentRecord>(&record.body)) {
+        this->context.recorder.documentInForce(document->document.service,
+                                               document->document.objective, offset);
+    }
+    if (record.id.proposer != this->context.self || record.id.sequence >= firstSnapshotSequence)
+        return;
+    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        engine.ownRecordApplied(record.id, offset, applied, now);
+    });
+}
+
+void ControlLoop::replayed(const StatePointer &state)
+{
+    this->context.recorder.offsetReplayed(state->offset());
+    this->updateRunners(state);
+    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        engine.replayed(state, now);
+    });
+}
+
+void ControlLoop::tailRead(core::TimePoint began)
+{
+    this->tell([began](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        engine.logRead(began, now);
+    });
+}
+
+std::optional<core::Fence> ControlLoop::mayServe(const core::ServerName &server) const
+{
+    const core::TimePoint now = this->context.clock.now();
+    return this->context.shared.ownership.with(
+            [&](const OwnershipTable &table) { return table.engine.mayServe(server, now); });
+}
+
+std::optional<core::Fence> ControlLoop::maySend(const ForwardRequest &request) const
+{
+    const core::TimePoint now = this->context.clock.now();
+    if (!request.ownerOnly)
+        return this->mayServe(request.server);
+    return this->context.shared.ownership.with([&](const OwnershipTable &table) {
+        const auto &engine = table.engine;
+        if (request.key) {
+            const auto hot = engine.mayServeHotKey(request.server, *request.key, now);
+            if (hot)
+                return hot;
+        }
+        return engine.mayServeSlot(request.server, request.info.slot, now);
+    });
+}
+
+void ControlLoop::appendEnded(const decisions::RecordId &id,
+                              const core::Outcome<core::LogOffset> &offset)
+{
+    if (!offset)
+        this->context.log.write(log::Severity::Warning, "append-failed",
+                                {{"sequence", std::to_string(id.sequence)},
+                                 {"kind", std::string(core::errorKindName(offset.error().kind))},
+                                 {"message", offset.error().message}});
+    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        if (offset)
+            engine.appendAnswered(id, *offset, now);
+        else if (offset.error().kind == core::ErrorKind::Unavailable)
+            engine.appendFailed(id, now);
+        else
+            engine.appendOpen(id, now);
+    });
+}
+
+void ControlLoop::recordOwnership(const decisions::SlotRecord &record)
+{
+    using report::OwnershipCause;
+    const StatePointer state = this->context.shared.state();
+    const decisions::ServerState *from = state->findServer(record.from);
+    OwnershipCause cause = OwnershipCause::Balance;
+    if (record.release == decisions::Release::Initial)
+        cause = OwnershipCause::FirstAssignment;
+    else if (record.release == decisions::Release::LeaseExpired)
+        cause = OwnershipCause::ServerLost;
+    else if (record.release == decisions::Release::WaitedOut)
+        cause = OwnershipCause::WaitedOut;
+    else if (from && (from->removed || from->spec.leaving))
+        cause = OwnershipCause::ServerLeaving;
+    else if (from && state->isDrained(from->spec.dataCentre))
+        cause = OwnershipCause::DataCentreDrain;
+    for (const decisions::SlotMove &move : record.moves) {
+        const bool onlyHotKeys = move.slots.empty() && cause == OwnershipCause::Balance;
+        this->context.recorder.ownershipChanged({record.service, move.to,
+                                                 move.slots.size() + move.hotKeys.size(),
+                                                 onlyHotKeys ? OwnershipCause::HotKey : cause});
+    }
+}
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/control_loop.h
@@ -0,0 +1,121 @@
+// Drives the ownership engine: facts go in, and what it decides is carried out.
+#pragma once
+
+#include "amaranthdale/clock/clock.h"
+#include "amaranthdale/log/event_log.h"
+#include "amaranthdale/peer/messages.h"
+#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/report/recorder.h"
+#include "log_follower.h"
+#include "server_runner.h"
+#include "tables.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace amaranthdale::daemon {
+
+/// What the loop works with. All must outlive it.
+struct ControlContext
+{
+    Tables &shared;
+    clock::Clock &clock;
+    core::HttpSender &backends;
+    core::HttpSender &peers;
+    platform::LogService &logService;
+    log::EventLog &log;
+    report::Recorder &recorder;
+    core::InstanceId self;
+    core::Duration promise; ///< How long a promise lasts.
+};
+
+/// Thread-safe. Actions are carried out one at a time, in the order in which the engine decided
+/// them, with no lock held.
+class ControlLoop : public ReplayListener, public SendGate
+{
+public:
+    explicit ControlLoop(ControlContext controlContext);
+
+    void start();
+    void stop();
+
+    /// Answers a peer's heartbeat with the promises that this instance gives.
+    peer::HeartbeatReply heartbeatReceived(const peer::Heartbeat &heartbeat);
+
+    void instancesListed(const std::vector<platform::ListedInstance> &instances);
+
+    /// Begins to hand over all controlled servers.
+    void leave();
+    bool hasLeft() const;
+
+    /// Age of the newest read of the log, for heartbeats.
+    void setLogAge(std::function<core::Duration()> age) { this->logAge = std::move(age); }
+
+    // ReplayListener
+    void recordApplied(core::LogOffset offset, const decisions::LogRecord &record,
+                       const decisions::Applied &applied) override;
+    void replayed(const StatePointer &state) override;
+    void tailRead(core::TimePoint began) override;
+
+    // SendGate
+    std::optional<core::Fence> mayServe(const core::ServerName &server) const override;
+    std::optional<core::Fence> maySend(const ForwardRequest &request) const override;
+
+private:
+    using Fact = std::function<void(decisions::OwnershipEngine &, core::TimePoint)>;
+
+    void tell(const Fact &fact);
+    void performAll();
+    void arm(core::TimePoint wakeup);
+
+    void perform(const decisions::ProbeServer &action);
+    void perform(const decisions::SendGrant &action);
+    void perform(const decisions::AppendRecord &action);
+    void perform(const decisions::SendHeartbeat &action);
+    void perform(const decisions::StopAdmitting &action);
+    void perform(const decisions::ResumeAdmitting &action);
+    void perform(const decisions::StopServer &action);
+    void perform(const decisions::CancelRequests &action);
+    void perform(const decisions::FetchLedger &action);
+    void perform(const decisions::WriteSnapshot &action);
+
+    void askServer(const core::ServerName &server, core::HttpRequest request, core::Fence fence);
+    void serverResponded(decisions::ServerAnswer answer, const core::Outcome<std::string> &body,
+                         unsigned status);
+    void appendEnded(const decisions::RecordId &id, const core::Outcome<core::LogOffset> &offset);
+    void updateRunners(const StatePointer &clusterState);
+    void updateRunner(const decisions::ClusterState &clusterState, const core::ServerName &name,
+                      const decisions::ServerState &server);
+    void updateSlots(ServerRunner &runner, const decisions::ServiceState &service,
+                     const core::ServerName &name, core::Epoch epoch);
+    void resumeAfterHotKeyMoves(const decisions::ClusterState &clusterState);
+    void dropRunners(const decisions::ClusterState &clusterState);
+    std::vector<core::SlotIndex> slotsOf(const core::ServerName &server,
+                                         const std::vector<core::SlotIndex> &slots,
+                                         const std::vector<std::string> &hotKeys) const;
+    void recordOwnership(const decisions::SlotRecord &record);
+
+    ControlContext context;
+    std::function<core::Duration()> logAge;
+    std::atomic<bool> stopped = false;
+    std::atomic<std::uint64_t> snapshotSequence;
+
+    // Offset from which the ledger of each started slot counts, by server. Replay only.
+    using StartedSlots = std::map<core::SlotIndex, core::LogOffset>;
+    std::map<core::ServerName, StartedSlots> startedSlots;
+    // Records that assigned slots which had no owner before, so that their ledgers are complete.
+    // Replay only.
+    std::set<core::LogOffset> initialAssignments;
+    // Hot keys that are being moved away: their whole slots are paused. Guarded by hotKeyMutex.
+    std::mutex hotKeyMutex; // A leaf: nothing is called under it.
+    std::map<core::ServerName, std::set<std::string>> movingHotKeys;
+
+    std::mutex timerMutex; // A leaf: only the clock is called under it.
+    clock::TimerId timer = 0;
+    core::TimePoint timerAt = core::TimePoint::max();
+};
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/forwarders.cpp
@@ -0,0 +1,96 @@
+// Finds the controller of a server and brings a request there.
+#include "forwarders.h"
+
+#include "forward_codec.h"
+#include "server_runner.h"
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+using core::ErrorKind;
+using decisions::RunOutcome;
+
+// The backend server's own limit is the deadline; the peer gets a little longer to report it.
+constexpr core::Duration reportAllowance = std::chrono::milliseconds(50);
+
+ForwardResult resultOf(const core::Error &error)
+{
+    const RunOutcome outcome =
+            error.kind == ErrorKind::Unavailable ? RunOutcome::NotRun : RunOutcome::Unknown;
+    return refuse(outcome, error.kind, error.message);
+}
+
+} // namespace
+
+std::shared_ptr<ServerRunner> Tables::runner(const core::ServerName &name) const
+{
+    return this->runners.with([&name](const RunnerMap &map) -> std::shared_ptr<ServerRunner> {
+        const auto found = map.find(name);
+        return found == map.end() ? nullptr : found->second;
+    });
+}
+
+std::shared_ptr<core::Exchange> LocalForwarder::forward(ForwardRequest request,
+                                                        ForwardHandler handler)
+{
+    const auto runner = this->shared.runner(request.server);
+    if (runner)
+        return runner->submit(std::move(request), std::move(handler));
+    handler(refuse(RunOutcome::NotRun, ErrorKind::Fenced,
+                   "this instance does not control " + request.server.value
+                           + "; send the request again"));
+    return nullptr;
+}
+
+ControllerForwarder::ControllerForwarder(const Tables &sharedTables,
+                                         const clock::Clock &processClock,
+                                         core::InstanceName ownName, core::HttpSender &peerSender,
+                                         Forwarder &localForwarder)
+    : shared(sharedTables), clock(processClock), self(std::move(ownName)), peers(peerSender),
+      local(localForwarder)
+{ }
+
+std::shared_ptr<core::Exchange> ControllerForwarder::forward(ForwardRequest request,
+                                                             ForwardHandler handler)
+{
+    const StatePointer state = this->shared.state();
+    const decisions::ServerState *server = state->findServer(request.server);
+    if (!server || !server->controller) {
+        handler(refuse(RunOutcome::NotRun, ErrorKind::Fenced,
+                       "server " + request.server.value
+                               + " has no controller yet; send the request again"));
+        return nullptr;
+    }
+    const core::InstanceName &controller = server->controller->instance.name;
+    if (controller == this->self)
+        return this->local.forward(std::move(request), std::move(handler));
+
+    const auto endpoint = this->shared.membership.with(
+            [&](const MembershipTable &table) -> std::optional<core::Endpoint> {
+                const auto found = table.listed.find(controller);
+                if (found == table.listed.end())
+                    return std::nullopt;
+                return found->second.peerEndpoint;
+            });
+    if (!endpoint) {
+        handler(refuse(RunOutcome::NotRun, ErrorKind::Fenced,
+                       "instance " + controller.value
+                               + " is not on the platform's list; send the request again"));
+        return nullptr;
+    }
+    const core::TimePoint now = this->clock.now();
+    const core::Duration timeout = request.info.deadline - now + reportAllowance;
+    return this->peers.send(
+            *endpoint, encodeForward(std::move(request), now), timeout,
+            [handler = std::move(handler)](core::Outcome<core::HttpResponse> response) {
+                if (!response)
+                    return handler(resultOf(response.error()));
+                auto result = core::attempt([&] { return decodeResult(std::move(*response)); });
+                if (!result)
+                    return handler(resultOf(result.error()));
+                handler(std::move(*result));
+            });
+}
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/forwarders.h
@@ -0,0 +1,43 @@
+// The two ways to a controller: in this process, or by a stream to a peer.
+#pragma once
+
+#include "amaranthdale/clock/clock.h"
+#include "forward.h"
+#include "tables.h"
+
+namespace amaranthdale::daemon {
+
+/// Hands requests to the runners of this instance.
+class LocalForwarder : public Forwarder
+{
+public:
+    explicit LocalForwarder(const Tables &sharedTables) : shared(sharedTables) { }
+
+    std::shared_ptr<core::Exchange> forward(ForwardRequest request,
+                                            ForwardHandler handler) override;
+
+private:
+    const Tables &shared;
+};
+
+/// Sends requests to the instance that controls the server, or hands them to `local` when that is
+/// this one.
+class ControllerForwarder : public Forwarder
+{
+public:
+    ControllerForwarder(const Tables &sharedTables, const clock::Clock &processClock,
+                        core::InstanceName ownName, core::HttpSender &peerSender,
+                        Forwarder &localForwarder);
+
+    std::shared_ptr<core::Exchange> forward(ForwardRequest request,
+                                            ForwardHandler handler) override;
+
+private:
+    const Tables &shared;
+    const clock::Clock &clock;
+    const core::InstanceName self;
+    core::HttpSender &peers;
+    Forwarder &local;
+};
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/heartbeat_codec.cpp
@@ -0,0 +1,186 @@
+// Field by field conversion; the wire encoding itself is in the peer library.
+#include "heartbeat_codec.h"
+
+#include <map>
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+std::vector<decisions::ServerEpoch> toFacts(const std::vector<peer::ServerEpoch> &subjects)
+{
+    std::vector<decisions::ServerEpoch> facts;
+    for (const peer::ServerEpoch &subject : subjects)
+        facts.push_back({subject.server, subject.epoch});
+    return facts;
+}
+
+std::vector<peer::ServerEpoch> toSubjects(const std::vector<decisions::ServerEpoch> &facts)
+{
+    std::vector<peer::ServerEpoch> subjects;
+    for (const decisions::ServerEpoch &fact : facts)
+        subjects.push_back({fact.server, fact.epoch});
+    return subjects;
+}
+
+peer::LedgerState toState(decisions::EntryState state)
+{
+    switch (state) {
+    case decisions::EntryState::InFlight:
+        return peer::LedgerState::InFlight;
+    case decisions::EntryState::Answered:
+        return peer::LedgerState::Answered;
+    case decisions::EntryState::Unknown:
+        return peer::LedgerState::Unknown;
+    case decisions::EntryState::NotRun:
+        return peer::LedgerState::NotRun;
+    }
+    return peer::LedgerState::Unknown;
+}
+
+// What was in flight at the former controller is unknown here.
+decisions::EntryState fromState(peer::LedgerState state)
+{
+    switch (state) {
+    case peer::LedgerState::Answered:
+        return decisions::EntryState::Answered;
+    case peer::LedgerState::NotRun:
+        return decisions::EntryState::NotRun;
+    case peer::LedgerState::InFlight:
+    case peer::LedgerState::Unknown:
+        break;
+    }
+    return decisions::EntryState::Unknown;
+}
+
+decisions::LedgerEntry toEntry(const peer::LedgerEntry &from)
+{
+    decisions::LedgerEntry entry;
+    entry.key = from.requestId.value;
+    entry.state = fromState(from.state);
+    entry.fingerprint = from.fingerprint;
+    entry.age = from.age;
+    if (from.state == peer::LedgerState::Answered) {
+        decisions::StoredResponse response{from.status, from.headers, from.body, from.bodyStored};
+        entry.response = std::make_shared<const decisions::StoredResponse>(std::move(response));
+    }
+    return entry;
+}
+
+peer::LedgerEntry fromEntry(core::SlotIndex slot, const decisions::LedgerEntry &from)
+{
+    peer::LedgerEntry entry;
+    entry.slot = slot;
+    entry.requestId = core::RequestId(from.key);
+    entry.state = toState(from.state);
+    entry.fingerprint = from.fingerprint;
+    entry.age = from.age;
+    if (from.response) {
+        entry.status = from.response->status;
+        entry.headers = from.response->headers;
+        entry.body = from.response->body;
+        entry.bodyStored = from.response->bodyStored;
+    }
+    return entry;
+}
+
+} // namespace
+
+decisions::Heartbeat toFact(const peer::Heartbeat &message)
+{
+    decisions::Heartbeat heartbeat;
+    heartbeat.from = {message.sender, message.dataCentre, message.leaving};
+    heartbeat.offset = message.newestOffset;
+    heartbeat.requested = toFacts(message.requestedPromises);
+    heartbeat.reachable = message.reachable;
+    return heartbeat;
+}
+
+decisions::HeartbeatReply toFact(const peer::HeartbeatReply &message)
+{
+    decisions::HeartbeatReply reply;
+    reply.from = message.sender;
+    for (const peer::Promise &promise : message.promises)
+        reply.given.push_back({promise.subject.server, promise.subject.epoch});
+    reply.newer = toFacts(message.newer);
+    return reply;
+}
+
+peer::Heartbeat toMessage(const decisions::Heartbeat &heartbeat, core::Duration logAge)
+{
+    peer::Heartbeat message;
+    message.sender = heartbeat.from.id;
+    message.dataCentre = heartbeat.from.dataCentre;
+    message.leaving = heartbeat.from.leaving;
+    message.newestOffset = heartbeat.offset;
+    message.logAge = logAge;
+    message.requestedPromises = toSubjects(heartbeat.requested);
+    message.reachable = heartbeat.reachable;
+    return message;
+}
+
+peer::HeartbeatReply toMessage(const decisions::HeartbeatReply &reply, core::LogOffset offset,
+                               core::Duration logAge, core::Duration promise)
+{
+    peer::HeartbeatReply message;
+    message.sender = reply.from;
+    message.newestOffset = offset;
+    message.logAge = logAge;
+    for (const decisions::ServerEpoch &given : reply.given)
+        message.promises.push_back({{given.server, given.epoch}, promise});
+    message.newer = toSubjects(reply.newer);
+    return message;
+}
+
+void addCrashes(peer::Heartbeat &message, const tables::Guarded<decisions::CrashFilter> &filter,
+                core::TimePoint now)
+{
+    filter.with([&](const decisions::CrashFilter &known) {
+        for (const decisions::Ban &ban : known.bans(now))
+            message.crashBans.push_back({ban.fingerprint, ban.remaining});
+        for (const decisions::Strike &strike : known.strikes(now))
+            message.crashStrikes.push_back(
+                    {strike.fingerprint, strike.server, strike.incarnation, strike.age});
+    });
+}
+
+void mergeCrashes(const peer::Heartbeat &message, tables::Guarded<decisions::CrashFilter> &filter,
+                  core::TimePoint now)
+{
+    filter.with([&](decisions::CrashFilter &known) {
+        for (const peer::CrashBan &ban : message.crashBans)
+            known.mergeBan({ban.fingerprint, ban.remaining}, now);
+        for (const peer::CrashStrike &strike : message.crashStrikes)
+            known.mergeStrike({strike.fingerprint, strike.server, strike.incarnation, strike.age},
+                              now);
+    });
+}
+
+std::vector<decisions::SlotMemory> toMemories(const peer::LedgerReply &message)
+{
+    std::map<core::SlotIndex, decisions::SlotMemory> bySlot;
+    for (const peer::LedgerSlot &slot : message.slots)
+        bySlot[slot.slot] = {slot.slot, slot.knownSince, slot.callerUnknownFor, {}};
+    for (const peer::LedgerEntry &entry : message.entries) {
+        const auto memory = bySlot.find(entry.slot);
+        if (memory != bySlot.end())
+            memory->second.entries.push_back(toEntry(entry));
+    }
+    std::vector<decisions::SlotMemory> memories;
+    for (auto &[slot, memory] : bySlot)
+        memories.push_back(std::move(memory));
+    return memories;
+}
+
+peer::LedgerReply toMessage(const std::vector<decisions::SlotMemory> &memories)
+{
+    peer::LedgerReply message;
+    for (const decisions::SlotMemory &memory : memories) {
+        message.slots.push_back({memory.slot, memory.knownSince, memory.callerUnknownFor});
+        for (const decisions::LedgerEntry &entry : memory.entries)
+            message.entries.push_back(fromEntry(memory.slot, entry));
+    }
+    return message;
+}
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/heartbeat_codec.h
@@ -0,0 +1,35 @@
+// Conversion between control messages of peers and the facts of the decisions.
+#pragma once
+
+#include "amaranthdale/decisions/crash_filter.h"
+#include "amaranthdale/decisions/ownership_messages.h"
+#include "amaranthdale/decisions/request_ledger.h"
+#include "amaranthdale/peer/messages.h"
+#include "amaranthdale/tables/guarded.h"
+
+#include <vector>
+
+namespace amaranthdale::daemon {
+
+inline constexpr const char *heartbeatPath = "/heartbeat";
+inline constexpr const char *ledgerPath = "/ledger";
+
+decisions::Heartbeat toFact(const peer::Heartbeat &message);
+decisions::HeartbeatReply toFact(const peer::HeartbeatReply &message);
+
+peer::Heartbeat toMessage(const decisions::Heartbeat &heartbeat, core::Duration logAge);
+peer::HeartbeatReply toMessage(const decisions::HeartbeatReply &reply, core::LogOffset offset,
+                               core::Duration logAge, core::Duration promise);
+
+/// Adds what the filter knows of requests that crash servers.
+void addCrashes(peer::Heartbeat &message, const tables::Guarded<decisions::CrashFilter> &filter,
+                core::TimePoint now);
+
+/// Takes over what a peer knows of requests that crash servers.
+void mergeCrashes(const peer::Heartbeat &message, tables::Guarded<decisions::CrashFilter> &filter,
+                  core::TimePoint now);
+
+std::vector<decisions::SlotMemory> toMemories(const peer::LedgerReply &message);
+peer::LedgerReply toMessage(const std::vector<decisions::SlotMemory> &memories);
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/log_follower.cpp
@@ -0,0 +1,174 @@
+// The read loop, and the start from a snapshot where the log no longer holds the first records.
+#include "log_follower.h"
+
+#include "amaranthdale/records/record_codec.h"
+#include "amaranthdale/records/state_codec.h"
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+using log::Severity;
+
+// A read begins at most this long after the one before, half of the 200 ms for which a read proves
+// that no newer controller exists.
+constexpr core::Duration readWait = std::chrono::milliseconds(100);
+constexpr core::Duration readTimeout = std::chrono::milliseconds(1000);
+constexpr core::Duration retryDelay = std::chrono::milliseconds(50);
+constexpr std::size_t recordsPerRead = 500;
+
+} // namespace
+
+LogFollower::LogFollower(platform::LogService &logService, clock::Clock &processClock,
+                         Tables &sharedTables, log::EventLog &eventLog,
+                         ReplayListener &replayListener, StateSource &stateSource)
+    : service(logService), clock(processClock), shared(sharedTables), log(eventLog),
+      listener(replayListener), peers(stateSource)
+{ }
+
+void LogFollower::start()
+{
+    this->readNext();
+}
+
+core::Duration LogFollower::readAge() const
+{
+    return this->clock.now() - this->lastTailRead.load();
+}
+
+void LogFollower::readNext()
+{
+    if (this->stopped)
+        return;
+    const core::TimePoint began = this->clock.now();
+    this->service.read(this->nextOffset, recordsPerRead, readWait, readTimeout,
+                       [this, began](core::Outcome<platform::LogPage> page) {
+                           if (!page)
+                               return this->readFailed(page.error());
+                           this->pageRead(began, *page);
+                           this->readNext();
+                       });
+}
+
+void LogFollower::readFailed(const core::Error &error)
+{
+    if (this->stopped)
+        return;
+    this->log.write(
+            Severity::Warning, "log-read-failed",
+            {{"kind", std::string(core::errorKindName(error.kind))}, {"message", error.message}});
+    this->clock.schedule(this->clock.now() + retryDelay, [this] {
+        if (this->isReady)
+            this->readNext();
+        else
+            this->startFromPeers();
+    });
+}
+
+void LogFollower::startFromPeers()
+{
+    this->peers.fetchState([this](core::Outcome<decisions::ClusterState> fetched) {
+        if (fetched && fetched->offset() > this->state.offset()) {
+            this->log.write(Severity::Info, "state-from-peer",
+                            {{"offset", std::to_string(fetched->offset().value)}});
+            this->adopt(std::move(*fetched));
+            this->publish();
+        }
+        this->readNext();
+    });
+}
+
+void LogFollower::pageRead(core::TimePoint began, const platform::LogPage &page)
+{
+    if (this->nextOffset < page.first && !this->awaitingSnapshot) {
+        this->log.write(Severity::Info, "log-truncated",
+                        {{"wanted", std::to_string(this->nextOffset.value)},
+                         {"first", std::to_string(page.first.value)}});
+        this->awaitingSnapshot = true;
+        this->held.clear();
+        this->pieces.clear();
+        this->nextOffset = page.first;
+    }
+    if (!page.entries.empty())
+        this->replay(page);
+    const bool atTail = this->nextOffset >= page.next;
+    if (this->awaitingSnapshot || !atTail)
+        return;
+    this->isReady = true;
+    this->lastTailRead = began;
+    this->listener.tailRead(began);
+}
+
+void LogFollower::replay(const platform::LogPage &page)
+{
+    for (const platform::LogEntry &entry : page.entries) {
+        if (entry.offset < this->nextOffset)
+            continue;
+        this->replayEntry(entry);
+        this->nextOffset = core::LogOffset(entry.offset.value + 1);
+    }
+    if (!this->awaitingSnapshot)
+        this->publish();
+}
+
+void LogFollower::replayEntry(const platform::LogEntry &entry)
+{
+    const auto decoded = records::decodeRecord(entry.body);
+    if (!decoded) {
+        this->log.write(Severity::Error, "record-undecodable",
+                        {{"offset", std::to_string(entry.offset.value)},
+                         {"message", records::toError(decoded.faults()).message}});
+        if (!this->awaitingSnapshot)
+            this->state.skip(entry.offset);
+        return;
+    }
+    if (this->awaitingSnapshot)
+        return this->collectSnapshot(entry.offset, *decoded);
+    const decisions::Applied applied = this->state.apply(entry.offset, *decoded);
+    this->listener.recordApplied(entry.offset, *decoded, applied);
+}
+
+void LogFollower::collectSnapshot(core::LogOffset offset, const decisions::LogRecord &record)
+{
+    this->held.emplace(offset, record);
+    const auto *piece = std::get_if<decisions::SnapshotRecord>(&record.body);
+    if (!piece)
+        return;
+    auto &collected = this->pieces[piece->covers];
+    collected.push_back(*piece);
+    if (collected.size() < piece->count)
+        return;
+    const auto joined = records::joinState(collected);
+    if (!joined)
+        return;
+    auto decoded = records::decodeState(*joined);
+    if (!decoded)
+        return;
+    this->awaitingSnapshot = false;
+    auto later = std::move(this->held);
+    this->adopt(std::move(decoded.value()));
+    for (const auto &[heldOffset, heldRecord] : later) {
+        if (heldOffset <= this->state.offset())
+            continue;
+        const decisions::Applied applied = this->state.apply(heldOffset, heldRecord);
+        this->listener.recordApplied(heldOffset, heldRecord, applied);
+    }
+}
+
+void LogFollower::adopt(decisions::ClusterState newState)
+{
+    this->state = std::move(newState);
+    this->nextOffset = core::LogOffset(this->state.offset().value + 1);
+    this->awaitingSnapshot = false;
+    this->held.clear();
+    this->pieces.clear();
+}
+
+void LogFollower::publish()
+{
+    auto pointer = std::make_shared<const decisions::ClusterState>(this->state);
+    this->shared.configuration.with([&](StatePointer &current) { current = pointer; });
+    this->listener.replayed(pointer);
+}
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/peer_directory.h
@@ -0,0 +1,51 @@
+// Keeps the membership table from the platform's list and from what peers tell.
+#pragma once
+
+#include "amaranthdale/clock/clock.h"
+#include "amaranthdale/log/event_log.h"
+#include "amaranthdale/platform/instance_list.h"
+#include "log_follower.h"
+#include "tables.h"
+
+#include <atomic>
+
+namespace amaranthdale::daemon {
+
+/// Fetches the platform's list at intervals and announces this instance on it.
+class PeerDirectory : public StateSource
+{
+public:
+    using ListHandler = std::function<void(const std::vector<platform::ListedInstance> &)>;
+
+    PeerDirectory(platform::InstanceList &instanceList, clock::Clock &processClock,
+                  Tables &sharedTables, log::EventLog &eventLog, core::HttpSender &peerSender,
+                  platform::ListedInstance ownLine, ListHandler onList);
+
+    void start();
+
+    /// Marks this instance as leaving on the platform's list.
+    void announceLeaving();
+
+    /// Takes this instance off the list, then calls `done`.
+    void withdraw(std::function<void()> done);
+
+    void stop() { this->stopped = true; }
+
+    void fetchState(std::function<void(core::Outcome<decisions::ClusterState>)> handler) override;
+
+private:
+    void announce();
+    void fetch();
+
+    platform::InstanceList &list;
+    clock::Clock &clock;
+    Tables &shared;
+    log::EventLog &log;
+    core::HttpSender &peers;
+    platform::ListedInstance self;
+    ListHandler listHandler;
+    std::atomic<bool> stopped = false;
+    std::atomic<bool> leaving = false;
+};
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/peer_service.h
@@ -0,0 +1,33 @@
+// The peers' port: forwarded requests, heartbeats, ledgers, state and report parts.
+#pragma once
+
+#include "control_loop.h"
+#include "forwarders.h"
+#include "operator_service.h"
+
+namespace amaranthdale::daemon {
+
+/// Serves the other instances.
+class PeerService : public core::RequestHandler
+{
+public:
+    PeerService(const Tables &sharedTables, clock::Clock &processClock, ControlLoop &controlLoop,
+                Forwarder &localForwarder, OperatorService &operatorService);
+
+    std::shared_ptr<core::Exchange> handle(core::HttpRequest request,
+                                           core::ResponseHandler respond) override;
+
+private:
+    std::shared_ptr<core::Exchange> forward(core::HttpRequest request,
+                                            core::ResponseHandler respond);
+    core::HttpResponse heartbeat(const core::HttpRequest &request);
+    core::HttpResponse ledger(const core::HttpRequest &request);
+
+    const Tables &shared;
+    clock::Clock &clock;
+    ControlLoop &control;
+    Forwarder &local;
+    OperatorService &operators;
+};
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/report_collector.h
@@ -0,0 +1,17 @@
+// Gathers the report parts of all instances.
+#pragma once
+
+#include "amaranthdale/core/message.h"
+#include "amaranthdale/report/report.h"
+
+#include <functional>
+#include <vector>
+
+namespace amaranthdale::daemon {
+
+/// Asks each of `endpoints` for its part and calls `handler` with these and `own`. Instances that
+/// don't answer within a second are left out.
+void collectReport(core::HttpSender &peers, const std::vector<core::Endpoint> &endpoints,
+                   report::ReportPart own, std::function<void(const report::Report &)> handler);
+
+} // namespace amaranthdale::daemon
--- /dev/null
+++ b/libs/daemon/src/server_runner.cpp
@@ -0,0 +1,491 @@
+// Sends what the dispatcher decides to send, and reports the end of each request to it.
+#include "server_runner.h"
+
+#include "observed_body.h"
+
+#include <algorithm>
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+using decisions::Actions;
+using decisions::Completion;
+using decisions::RunOutcome;
+using decisions::ServerDispatcher;
+using decisions::Ticket;
+
+constexpr core::Duration tickInterval = std::chrono::milliseconds(5);
+constexpr core::Duration cancelTimeout = std::chrono::milliseconds(500);
+
+// The next controller asks within a second of its record.
+constexpr core::Duration retiredLedgerTime = std::chrono::seconds(30);
+
+// Responses to non-idempotent requests are held whole until their end is known, so that a resend
+// can be given the same response.
+constexpr std::size_t wholeResponseBytes = 8 * 1024 * 1024;
+
+Completion completionOf(const core::Error &error)
+{
+    Completion completion;
+    completion.kind = error.kind;
+    completion.outcome =
+            error.kind == core::ErrorKind::Unavailable ? RunOutcome::NotRun : RunOutcome::Unknown;
+    return completion;
+}
+
+// A backend server that refuses says so by X-Not-Run; anything else is its response.
+std::optional<Completion> refusalOf(const core::HttpResponse &response)
+{
+    if (!core::findHeader(response.headers, "X-Not-Run"))
+        return std::nullopt;
+    Completion completion;
+    completion.outcome = RunOutcome::NotRun;
+    completion.kind =
+            response.status == 409 ? core::ErrorKind::Fenced : core::ErrorKind::Overloaded;
+    return completion;
+}
+
+core::HttpResponse toResponse(const decisions::StoredResponse &stored)
+{
+    core::HttpResponse response;
+    response.status = stored.status;
+    response.headers = stored.headers;
+    response.contentLength = stored.body.size();
+    response.body = core::makeStringBody(stored.body);
+    return response;
+}
+
+} // namespace
+
+// Lets the transport give up a request that its caller no longer waits for.
+class RunExchange : public core::Exchange
+{
+public:
+    RunExchange(std::weak_ptr<ServerRunner> serverRunner, Ticket runTicket)
+        : runner(std::move(serverRunner)), ticket(runTicket)
+    { }
+
+    void cancel() override
+    {
+        if (const auto alive = this->runner.lock())
+            alive->callerGone(this->ticket);
+    }
+
+private:
+    std::weak_ptr<ServerRunner> runner;
+    Ticket ticket;
+};
+
+ServerRunner::ServerRunner(RunnerContext runnerContext, core::ServerName serverName,
+                           core::Endpoint address, ServerDispatcher serverDispatcher)
+    : context(runnerContext), name(std::move(serverName)),
+      state(tables::LockRank::BackendServers,
+            State{std::move(serverDispatcher), {}, {}, {}, std::move(address), false})
+{ }
+
+std::shared_ptr<core::Exchange> ServerRunner::submit(ForwardRequest request, ForwardHandler handler)
+{
+    if (!this->context.gate.maySend(request)) {
+        handler(refuse(RunOutcome::NotRun, core::ErrorKind::Fenced,
+                       "this instance may not send to " + this->name.value
+                               + " now; send the request again"));
+        return nullptr;
+    }
+    const core::TimePoint now = this->context.clock.now();
+    Ticket ticket = 0;
+    const Actions actions = this->state.with([&](State &shared) {
+        Actions decided = shared.dispatcher.authorityHeld(now);
+        decisions::Arrival arrival = shared.dispatcher.arrive(request.info, now);
+        ticket = arrival.ticket;
+        shared.runs.emplace(ticket, Run{std::move(request), std::move(handler), nullptr});
+        std::move(arrival.actions.begin(), arrival.actions.end(), std::back_inserter(decided));
+        return decided;
+    });
+    this->perform(actions);
+    this->scheduleTick();
+    return std::make_shared<RunExchange>(this->weak_from_this(), ticket);
+}
+
+void ServerRunner::decide(
+        const std::function<Actions(ServerDispatcher &, core::TimePoint)> &function)
+{
+    const core::TimePoint now = this->context.clock.now();
+    this->perform(
+            this->state.with([&](State &shared) { return function(shared.dispatcher, now); }));
+}
+
+void ServerRunner::pauseSlots(std::vector<core::SlotIndex> slots, core::TimePoint deadline,
+                              std::function<void()> idle)
+{
+    const core::TimePoint now = this->context.clock.now();
+    const Actions actions = this->state.with([&](State &shared) {
+        Actions decided;
+        for (core::SlotIndex slot : slots) {
+            Actions more = shared.dispatcher.pauseSlot(slot, now);
+            std::move(more.begin(), more.end(), std::back_inserter(decided));
+        }
+        shared.pauses.push_back(Pause{std::move(slots), deadline, std::move(idle)});
+        return decided;
+    });
+    this->perform(actions);
+    this->endPauses();
+    this->scheduleTick();
+}
+
+decisions::DispatcherLoad ServerRunner::load() const
+{
+    const core::TimePoint now = this->context.clock.now();
+    return this->state.with([now](const State &shared) { return shared.dispatcher.load(now); });
+}
+
+std::string ServerRunner::limitReason() const
+{
+    const core::TimePoint now = this->context.clock.now();
+    return this->state.with(
+            [now](const State &shared) { return shared.dispatcher.limitReason(now); });
+}
+
+bool ServerRunner::idle() const
+{
+    return this->state.with([](const State &shared) { return shared.runs.empty(); });
+}
+
+core::Endpoint ServerRunner::endpoint() const
+{
+    return this->state.with([](const State &shared) { return shared.endpoint; });
+}
+
+void ServerRunner::moveTo(const core::Endpoint &address)
+{
+    this->state.with([&](State &shared) { shared.endpoint = address; });
+}
+
+void ServerRunner::perform(const Actions &actions)
+{
+    for (const decisions::Action &action : actions)
+        std::visit([this](const auto &each) { this->perform(each); }, action);
+}
+
+void ServerRunner::perform(const decisions::SendRequest &action)
+{
+    // The gate takes the ownership table's lock, which comes before this one in the lock order.
+    const auto request = this->state.with([&](State &shared) -> std::optional<ForwardRequest> {
+        const auto run = shared.runs.find(action.ticket);
+        if (run == shared.runs.end())
+            return std::nullopt;
+        ForwardRequest routing = run->second.request;
+        routing.request = {};
+        return routing;
+    });
+    if (!request)
+        return;
+    const auto fence = this->context.gate.maySend(*request);
+    if (!fence)
+        return this->notSent(action.ticket);
+    this->sendToServer(action.ticket, *fence);
+}
+
+void ServerRunner::notSent(Ticket ticket)
+{
+    const bool serverLost = !this->context.gate.mayServe(this->name);
+    const core::TimePoint now = this->context.clock.now();
+    const Actions actions = this->state.with([&](State &shared) {
+        Actions decided;
+        if (serverLost)
+            decided = shared.dispatcher.authorityLost(now);
+        Completion completion;
+        completion.outcome = RunOutcome::NotRun;
+        completion.kind = core::ErrorKind::Fenced;
+        Actions more = shared.dispatcher.completed(ticket, completion, now);
+        std::move(more.begin(), more.end(), std::back_inserter(decided));
+        return decided;
+    });
+    this->perform(actions);
+}
+
+void ServerRunner::sendToServer(Ticket ticket, const core::Fence &fence)
+{
+    const core::TimePoint now = this->context.clock.now();
+    core::HttpRequest message;
+    core::Endpoint endpoint;
+    core::Duration timeout{};
+    const bool found = this->state.with([&](State &shared) {
+        const auto run = shared.runs.find(ticket);
+        if (run == shared.runs.end())
+            return false;
+        ForwardRequest &request = run->second.request;
+        message = std::move(request.request);
+        const auto remaining =
+                std::chrono::duration_cast<std::chrono::milliseconds>(request.info.deadline - now);
+        timeout = remaining;
+        core::setHeader(message.headers, "X-Request-Id", request.info.id.value);
+        core::setHeader(message.headers, "X-Deadline-Ms", std::to_string(remaining.count()));
+        core::setHeader(message.headers, "X-Fence",
+                        std::to_string(fence.epoch.value) + '.' + std::to_string(fence.sequence));
+        if (request.ownerOnly)
+            core::setHeader(message.headers, "X-Slot", std::to_string(request.info.slot));
+        if (request.key)
+            core::setHeader(message.headers, "X-Key", *request.key);
+        endpoint = shared.endpoint;
+        return true;
+    });
+    if (!found)
+        return;
+    auto exchange = this->context.backends.send(
+            endpoint, std::move(message), std::max(timeout, core::Duration(1)),
+            [self = this->shared_from_this(), ticket,
+             now](core::Outcome<core::HttpResponse> response) {
+                self->responded(ticket, now, std::move(response));
+            });
+    this->state.with([&](State &shared) {
+        const auto run = shared.runs.find(ticket);
+        if (run != shared.runs.end())
+            run->second.exchange = std::move(exchange);
+    });
+}
+
+void ServerRunner::responded(Ticket ticket, core::TimePoint sentAt,
+                             core::Outcome<core::HttpResponse> response)
+{
+    if (!response)
+        return this->complete(ticket, completionOf(response.error()));
+    if (const auto refusal = refusalOf(*response))
+        return this->complete(ticket, *refusal);
+    const bool idempotent = this->state.with([&](const State &shared) {
+        const auto run = shared.runs.find(ticket);
+        return run == shared.runs.end() || run->second.request.info.idempotent;
+    });
+    if (idempotent)
+        this->passOn(ticket, sentAt, std::move(*response));
+    else
+        this->passOnWhole(ticket, sentAt, std::move(*response));
+}
+
+void ServerRunner::passOn(Ticket ticket, core::TimePoint sentAt, core::HttpResponse response)
+{
+    const core::Duration latency = this->context.clock.now() - sentAt;
+    auto run = this->takeRun(ticket);
+    if (!run)
+        return this->completeAnswered(ticket, latency);
+    // The server is busy with the request until the body has ended.
+    response.body = std::make_shared<ObservedBody>(
+            std::move(response.body), [self = this->shared_from_this(), ticket, latency](bool) {
+                self->completeAnswered(ticket, latency);
+            });
+    ForwardResult result;
+    result.outcome = RunOutcome::Answered;
+    result.response = std::move(response);
+    result.load = this->load();
+    run->handler(std::move(result));
+}
+
+void ServerRunner::passOnWhole(Ticket ticket, core::TimePoint sentAt, core::HttpResponse response)
+{
+    const core::Duration latency = this->context.clock.now() - sentAt;
+    auto body = response.body;
+    core::readWholeBody(
+            std::move(body), wholeResponseBytes,
+            [self = this->shared_from_this(), ticket, latency, status = response.status,
+             headers = std::move(response.headers)](core::Outcome<std::string> text) mutable {
+                if (!text)
+                    return self->complete(ticket,
+                                          completionOf(core::Error{core::ErrorKind::ConnectionLost,
+                                                                   text.error().message}));
+                decisions::StoredResponse stored{status, std::move(headers), std::move(*text),
+                                                 true};
+                Completion completion;
+                completion.latency = latency;
+                completion.response = stored;
+                self->complete(ticket, completion);
+                ForwardResult result;
+                result.outcome = RunOutcome::Answered;
+                result.response = toResponse(stored);
+                result.load = self->load();
+                self->finish(ticket, std::move(result));
+            });
+}
+
+void ServerRunner::complete(Ticket ticket, const Completion &completion)
+{
+    const core::TimePoint now = this->context.clock.now();
+    this->perform(this->state.with(
+            [&](State &shared) { return shared.dispatcher.completed(ticket, completion, now); }));
+    this->endPauses();
+}
+
+void ServerRunner::completeAnswered(Ticket ticket, core::Duration latency)
+{
+    Completion completion;
+    completion.latency = latency;
+    this->complete(ticket, completion);
+}
+
+void ServerRunner::perform(const decisions::RefuseRequest &action)
+{
+    ForwardResult result;
+    result.outcome = action.refusal.outcome;
+    result.refusal = action.refusal;
+    this->finish(action.ticket, std::move(result));
+}
+
+void ServerRunner::perform(const decisions::GiveResponse &action)
+{
+    ForwardResult result;
+    if (action.response->bodyStored) {
+        result.outcome = RunOutcome::Answered;
+        result.response = toResponse(*action.response);
+    } else {
+        result = refuse(RunOutcome::Unknown, core::ErrorKind::Conflict,
+                        "the request ran with status " + std::to_string(action.response->status)
+                                + " and its response is too large to repeat; read the result back");
+    }
+    this->finish(action.ticket, std::move(result));
+}
+
+void ServerRunner::perform(const decisions::AttachRequest &)
+{
+    // The run waits in the table until the owner's end brings an action for it.
+}
+
+void ServerRunner::perform(const decisions::CancelRequest &action)
+{
+    core::RequestId id;
+    const auto exchange = this->state.with([&](State &shared) -> std::shared_ptr<core::Exchange> {
+        const auto run = shared.runs.find(action.ticket);
+        if (run == shared.runs.end())
+            return nullptr;
+        id = run->second.request.info.id;
+        return run->second.exchange;
+    });
+    if (!exchange)
+        return;
+    exchange->cancel();
+    this->cancelOnServer(id);
+}
+
+void ServerRunner::cancelOnServer(const core::RequestId &id)
+{
+    core::HttpRequest message;
+    message.method = "DELETE";
+    message.target = "/-/requests/" + id.value;
+    this->context.backends.send(this->endpoint(), std::move(message), cancelTimeout,
+                                [](const core::Outcome<core::HttpResponse> &) {});
+}
+
+void ServerRunner::retireSlot(core::SlotIndex slot)
+{
+    const core::TimePoint now = this->context.clock.now();
+    this->perform(this->state.with([&](State &shared) {
+        std::erase_if(shared.retired, [now](const auto &entry) {
+            return now - entry.second.retiredAt > retiredLedgerTime;
+        });
+        if (shared.dispatcher.ownsSlot(slot))
+            shared.retired[slot] = Retired{shared.dispatcher.exportSlot(slot, now), now};
+        return shared.dispatcher.dropSlot(slot, now);
+    }));
+}
+
+void ServerRunner::exportSlots(const std::vector<core::SlotIndex> &slots,
+                               std::vector<decisions::SlotMemory> &memories) const
+{
+    const core::TimePoint now = this->context.clock.now();
+    this->state.with([&](const State &shared) {
+        for (core::SlotIndex slot : slots) {
+            const auto retired = shared.retired.find(slot);
+            if (shared.dispatcher.ownsSlot(slot))
+                memories.push_back(shared.dispatcher.exportSlot(slot, now));
+            else if (retired != shared.retired.end())
+                memories.push_back(retired->second.memory);
+        }
+    });
+}
+
+void ServerRunner::cancelInFlight()
+{
+    const auto exchanges = this->state.with([](State &shared) {
+        std::vector<std::shared_ptr<core::Exchange>> found;
+        for (auto &[ticket, run] : shared.runs) {
+            if (run.exchange)
+                found.push_back(run.exchange);
+        }
+        return found;
+    });
+    for (const auto &exchange : exchanges)
+        exchange->cancel();
+}
+
+void ServerRunner::callerGone(Ticket ticket)
+{
+    this->decide([ticket](ServerDispatcher &dispatcher, core::TimePoint now) {
+        return dispatcher.callerGone(ticket, now);
+    });
+}
+
+std::optional<ServerRunner::Run> ServerRunner::takeRun(Ticket ticket)
+{
+    return this->state.with([&](State &shared) -> std::optional<Run> {
+        auto node = shared.runs.extract(ticket);
+        if (node.empty())
+            return std::nullopt;
+        return std::move(node.mapped());
+    });
+}
+
+void ServerRunner::finish(Ticket ticket, ForwardResult result)
+{
+    auto run = this->takeRun(ticket);
+    if (!run)
+        return;
+    if (!result.load)
+        result.load = this->load();
+    run->handler(std::move(result));
+}
+
+void ServerRunner::scheduleTick()
+{
+    const bool start = this->state.with([](State &shared) {
+        const bool wanted =
+                !shared.ticking && (!shared.dispatcher.idle() || !shared.pauses.empty());
+        shared.ticking = shared.ticking || wanted;
+        return wanted;
+    });
+    if (!start)
+        return;
+    this->context.clock.schedule(this->context.clock.now() + tickInterval,
+                                 [weak = this->weak_from_this()] {
+                                     if (const auto self = weak.lock())
+                                         self->tick();
+                                 });
+}
+
+void ServerRunner::tick()
+{
+    this->state.with([](State &shared) { shared.ticking = false; });
+    this->decide(
+            [](ServerDispatcher &dispatcher, core::TimePoint now) { return dispatcher.tick(now); });
+    this->endPauses();
+    this->scheduleTick();
+}
+
+void ServerRunner::endPauses()
+{
+    const core::TimePoint now = this->context.clock.now();
+    std::vector<std::function<void()>> ended;
+    this->state.with([&](State &shared) {
+        std::erase_if(shared.pauses, [&](Pause &pause) {
+            const bool busy =
+                    std::any_of(pause.slots.begin(), pause.slots.end(), [&](core::SlotIndex slot) {
+                        return shared.dispatcher.slotInFlight(slot) > 0;
+                    });
+            if (busy && now < pause.deadline)
+                return false;
+            ended.push_back(std::move(pause.idle));
+            return true;
+        });
+    });
+    for (const auto &idle : ended)
+        idle();
+}
+
+} // namespace amaranthdale::daemon
--- a/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
+++ b/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
@@ -129,6 +129,7 @@
     Actions pauseSlot(core::SlotIndex slot, core::TimePoint now);
     void resumeSlot(core::SlotIndex slot) { this->pausedSlots.erase(slot); }
     unsigned slotInFlight(core::SlotIndex slot) const;
+    bool ownsSlot(core::SlotIndex slot) const { return this->ledger.ownsSlot(slot); }
     SlotMemory exportSlot(core::SlotIndex slot, core::TimePoint now) const;
     bool importSlot(const SlotMemory &memory, core::TimePoint now);
     /// The slot moved away. Its queued requests are refused; what is in flight still completes.
--- /dev/null
+++ b/libs/decisions/src/routing.cpp
@@ -0,0 +1,164 @@
+// Reading of keys, brands, ids and deadlines from a caller's request.
+#include "amaranthdale/decisions/routing.h"
+
+#include "amaranthdale/core/hash.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace amaranthdale::decisions {
+
+namespace {
+
+using core::ErrorKind;
+using core::fail;
+using core::Result;
+
+// Ids longer than this would let callers fill a ledger's memory with few requests.
+constexpr std::size_t mostIdBytes = 128;
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+// Segment `index` of the path, where 0 is the service's name; empty when there is none.
+std::string_view segmentOf(std::string_view target, std::size_t index)
+{
+    std::string_view rest = pathOf(target);
+    for (std::size_t position = 0; !rest.empty(); ++position) {
+        rest.remove_prefix(1);
+        const std::string_view segment = rest.substr(0, rest.find('/'));
+        if (position == index)
+            return segment;
+        rest.remove_prefix(segment.size());
+    }
+    return {};
+}
+
+std::optional<std::string> valueFrom(const ValueSource &source, const core::HttpRequest &request)
+{
+    switch (source.kind) {
+    case ValueSource::Kind::None:
+        return std::nullopt;
+    case ValueSource::Kind::Header: {
+        const auto value = core::findHeader(request.headers, source.header);
+        if (!value || value->empty())
+            return std::nullopt;
+        return std::string(*value);
+    }
+    case ValueSource::Kind::PathSegment: {
+        const std::string_view segment = segmentOf(request.target, source.segment + 1);
+        if (segment.empty())
+            return std::nullopt;
+        return std::string(segment);
+    }
+    }
+    return std::nullopt;
+}
+
+std::string describe(const ValueSource &source)
+{
+    if (source.kind == ValueSource::Kind::Header)
+        return "header " + source.header;
+    return "path segment " + std::to_string(source.segment) + " after the service's name";
+}
+
+Result<core::Duration> timeoutOf(const ServiceDocument &document, const core::HttpRequest &request)
+{
+    const auto text = core::findHeader(request.headers, "X-Timeout-Ms");
+    if (!text)
+        return document.requestTimeout;
+    std::uint32_t milliseconds = 0;
+    const auto [end, error] =
+            std::from_chars(text->data(), text->data() + text->size(), milliseconds);
+    if (error != std::errc() || end != text->data() + text->size() || milliseconds == 0)
+        return fail(ErrorKind::InvalidArgument,
+                    "X-Timeout-Ms must be a whole number of milliseconds above 0");
+    return std::min<core::Duration>(std::chrono::milliseconds(milliseconds),
+                                    document.requestTimeout);
+}
+
+bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+Result<void> readId(const core::HttpRequest &request, core::LogOffset replayed,
+                    RandomSource &random, RequestInfo &info)
+{
+    const auto given = core::findHeader(request.headers, "Idempotency-Key");
+    if (!given) {
+        info.id = makeIssuedId(replayed, random);
+        info.origin = IdOrigin::Instance;
+        return {};
+    }
+    if (given->empty() || given->size() > mostIdBytes || !isPrintable(*given))
+        return fail(ErrorKind::InvalidArgument,
+                    "Idempotency-Key must have 1 to 128 printable characters without spaces");
+    info.id = core::RequestId(std::string(*given));
+    info.origin = parseIssuedId(*given) ? IdOrigin::Issued : IdOrigin::Caller;
+    return {};
+}
+
+std::uint64_t fingerprintOf(const core::HttpRequest &request)
+{
+    const std::uint64_t line = core::stableHash(request.method + ' ' + request.target, 0);
+    return core::stableHash(request.body, line);
+}
+
+} // namespace
+
+Result<core::ServiceName> serviceOf(std::string_view target)
+{
+    if (target.empty() || target.front() != '/')
+        return fail(ErrorKind::InvalidArgument, "the target must begin with /SERVICE/");
+    const std::string_view name = segmentOf(target, 0);
+    if (name.empty())
+        return fail(ErrorKind::InvalidArgument, "the target must name a service: /SERVICE/...");
+    return core::ServiceName(std::string(name));
+}
+
+Result<RoutedRequest> routeRequest(const ServiceState &service, const core::HttpRequest &request,
+                                   core::LogOffset replayed, RandomSource &random,
+                                   core::TimePoint now)
+{
+    const ServiceDocument &document = service.document;
+    RoutedRequest routed;
+    RequestInfo &info = routed.info;
+    BOOST_LEAF_AUTO(timeout, timeoutOf(document, request));
+    BOOST_LEAF_CHECK(readId(request, replayed, random, info));
+    info.service = document.service;
+    info.deadline = now + timeout;
+    info.idempotent = document.isIdempotent(request.method);
+    info.fingerprint = fingerprintOf(request);
+    info.brand = core::BrandName(valueFrom(document.brand, request).value_or(""));
+
+    if (document.keyed()) {
+        routed.key = valueFrom(document.key, request);
+        if (!routed.key)
+            return fail(ErrorKind::InvalidArgument,
+                        "the request lacks its key; give it in " + describe(document.key));
+    } else if (!info.idempotent) {
+        // A resend through another instance must meet the same controller.
+        routed.key = info.id.value;
+    }
+    routed.ownerOnly = routed.key.has_value();
+    if (routed.key) {
+        info.slot = core::slotOf(*routed.key, document.hashSeed, document.hashSlots);
+        info.keyHash = core::stableHash(*routed.key, document.hashSeed);
+    }
+    return routed;
+}
+
+std::optional<core::ServerName> ownerFor(const ServiceState &service, const RoutedRequest &request)
+{
+    if (!request.key)
+        return std::nullopt;
+    const core::ServerName &owner = service.ownerOf(*request.key).server;
+    if (owner.empty())
+        return std::nullopt;
+    return owner;
+}
+
+} // namespace amaranthdale::decisions
--- a/libs/peer/include/amaranthdale/peer/messages.h
+++ b/libs/peer/include/amaranthdale/peer/messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "amaranthdale/core/error.h"
+#include "amaranthdale/core/message.h"
 #include "amaranthdale/core/types.h"
 
 #include <cstdint>
@@ -38,6 +39,17 @@
     bool operator==(const CrashBan &) const = default;
 };
 
+/// A request fingerprint that was in flight when a backend server crashed.
+struct CrashStrike
+{
+    std::uint64_t fingerprint = 0;
+    core::ServerName server;
+    core::Incarnation incarnation;
+    core::Duration age{};
+
+    bool operator==(const CrashStrike &) const = default;
+};
+
 /// Load of one backend server as its controller sees it, in requests.
 struct ServerLoad
 {
@@ -60,6 +72,8 @@
     std::vector<ServerEpoch> requestedPromises;
     std::vector<CrashBan> crashBans;
     std::vector<ServerLoad> loads;
+    std::vector<core::ServerName> reachable; ///< Servers that the sender controls and reaches.
+    std::vector<CrashStrike> crashStrikes;
 
     bool operator==(const Heartbeat &) const = default;
 };
@@ -71,6 +85,7 @@
     core::LogOffset newestOffset;
     core::Duration logAge{};
     std::vector<Promise> promises;
+    std::vector<ServerEpoch> newer; ///< Requested ones that have a newer controller.
 
     bool operator==(const HeartbeatReply &) const = default;
 };
@@ -90,23 +105,39 @@
     InFlight, ///< Sent, not answered yet.
     Answered, ///< Answered with the given status.
     Unknown,  ///< Sent; whether it ran is open.
+    NotRun,   ///< Certainly never began.
 };
 
-/// One request that was sent to a backend server.
+/// One request that was sent to a backend server, with its response where that was kept.
 struct LedgerEntry
 {
     core::SlotIndex slot = 0;
     core::RequestId requestId;
     LedgerState state = LedgerState::InFlight;
-    std::uint32_t status = 0;   ///< HTTP status; 0 unless answered.
-    core::LogOffset knownSince; ///< The ledger of the slot knows all ids issued from here on.
+    std::uint64_t fingerprint = 0;
+    core::Duration age{};     ///< Since its end.
+    std::uint32_t status = 0; ///< HTTP status; 0 unless answered.
+    bool bodyStored = false;
+    core::Headers headers;
+    std::string body;
 
     bool operator==(const LedgerEntry &) const = default;
 };
 
-/// All entries of the slots that were asked for.
+/// From when on the ledger of a slot is complete.
+struct LedgerSlot
+{
+    core::SlotIndex slot = 0;
+    core::LogOffset knownSince;        ///< All ids issued from here on are known.
+    core::Duration callerUnknownFor{}; ///< Ids chosen by callers are known after this.
+
+    bool operator==(const LedgerSlot &) const = default;
+};
+
+/// The slots that were asked for and that the sender has a ledger of, with all entries.
 struct LedgerReply
 {
+    std::vector<LedgerSlot> slots;
     std::vector<LedgerEntry> entries;
 
     bool operator==(const LedgerReply &) const = default;
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -95,6 +95,30 @@
     return bans;
 }
 
+core::Result<void> writeStrikes(const std::vector<CrashStrike> &strikes, wire::Heartbeat &to)
+{
+    for (const CrashStrike &strike : strikes) {
+        auto &entry = *to.add_crash_strikes();
+        entry.set_fingerprint(strike.fingerprint);
+        entry.set_server(strike.server.value);
+        entry.set_incarnation(strike.incarnation.value);
+        BOOST_LEAF_AUTO(age, toMicroseconds(strike.age));
+        entry.set_age_us(age);
+    }
+    return {};
+}
+
+core::Result<std::vector<CrashStrike>> readStrikes(const wire::Heartbeat &from)
+{
+    std::vector<CrashStrike> strikes;
+    for (const auto &entry : from.crash_strikes()) {
+        BOOST_LEAF_AUTO(age, fromMicroseconds(entry.age_us()));
+        strikes.push_back(CrashStrike{entry.fingerprint(), core::ServerName(entry.server()),
+                                      core::Incarnation(entry.incarnation()), age});
+    }
+    return strikes;
+}
+
 core::Result<std::vector<ServerLoad>> readLoads(const wire::Heartbeat &from)
 {
     std::vector<ServerLoad> loads;
@@ -116,6 +140,8 @@
         return wire::LEDGER_STATE_ANSWERED;
     case LedgerState::Unknown:
         return wire::LEDGER_STATE_UNKNOWN;
+    case LedgerState::NotRun:
+        return wire::LEDGER_STATE_NOT_RUN;
     }
     return wire::LEDGER_STATE_UNKNOWN;
 }
@@ -128,11 +154,50 @@
         return LedgerState::InFlight;
     case wire::LEDGER_STATE_ANSWERED:
         return LedgerState::Answered;
+    case wire::LEDGER_STATE_NOT_RUN:
+        return LedgerState::NotRun;
     default:
         return LedgerState::Unknown;
     }
 }
 
+core::Result<void> writeEntry(const LedgerEntry &entry, wire::LedgerEntry &to)
+{
+    to.set_slot(entry.slot);
+    to.set_request_id(entry.requestId.value);
+    to.set_state(writeState(entry.state));
+    to.set_fingerprint(entry.fingerprint);
+    BOOST_LEAF_AUTO(age, toMicroseconds(entry.age));
+    to.set_age_us(age);
+    to.set_status(entry.status);
+    to.set_body_stored(entry.bodyStored);
+    to.set_body(entry.body);
+    for (const core::Header &header : entry.headers) {
+        auto &field = *to.add_headers();
+        field.set_name(header.name);
+        field.set_value(header.value);
+    }
+    return {};
+}
+
+core::Result<LedgerEntry> readEntry(const wire::LedgerEntry &from)
+{
+    if (from.request_id().empty())
+        return malformed("request id");
+    LedgerEntry entry;
+    entry.slot = from.slot();
+    entry.requestId = core::RequestId(from.request_id());
+    entry.state = readState(from.state());
+    entry.fingerprint = from.fingerprint();
+    BOOST_LEAF_ASSIGN(entry.age, fromMicroseconds(from.age_us()));
+    entry.status = from.status();
+    entry.bodyStored = from.body_stored();
+    entry.body = from.body();
+    for (const auto &field : from.headers())
+        entry.headers.push_back(core::Header{field.name(), field.value()});
+    return entry;
+}
+
 } // namespace
 
 core::Result<std::string> encodeHeartbeat(const Heartbeat &message)
@@ -149,6 +214,9 @@
         writeServerEpoch(subject, *to.add_requested_promises());
     BOOST_LEAF_CHECK(writeBans(message.crashBans, to));
     writeLoads(message.loads, to);
+    for (const core::ServerName &server : message.reachable)
+        to.add_reachable(server.value);
+    BOOST_LEAF_CHECK(writeStrikes(message.crashStrikes, to));
     return serialise(to);
 }
 
@@ -170,6 +238,9 @@
     }
     BOOST_LEAF_ASSIGN(message.crashBans, readBans(from));
     BOOST_LEAF_ASSIGN(message.loads, readLoads(from));
+    for (const std::string &server : from.reachable())
+        message.reachable.emplace_back(server);
+    BOOST_LEAF_ASSIGN(message.crashStrikes, readStrikes(from));
     return message;
 }
 
@@ -187,6 +258,8 @@
         BOOST_LEAF_AUTO(duration, toMicroseconds(promise.duration));
         entry.set_duration_us(duration);
     }
+    for (const ServerEpoch &subject : message.newer)
+        writeServerEpoch(subject, *to.add_newer());
     return serialise(to);
 }
 
@@ -205,6 +278,10 @@
         BOOST_LEAF_AUTO(duration, fromMicroseconds(entry.duration_us()));
         message.promises.push_back(Promise{std::move(subject), duration});
     }
+    for (const auto &entry : from.newer()) {
+        BOOST_LEAF_AUTO(subject, readServerEpoch(entry));
+        message.newer.push_back(std::move(subject));
+    }
     return message;
 }
 
@@ -232,13 +309,16 @@
 core::Result<std::string> encodeLedgerReply(const LedgerReply &message)
 {
     wire::LedgerReply to;
+    for (const LedgerSlot &slot : message.slots) {
+        auto &target = *to.add_slots();
+        target.set_slot(slot.slot);
+        target.set_known_since(slot.knownSince.value);
+        BOOST_LEAF_AUTO(unknownFor, toMicroseconds(slot.callerUnknownFor));
+        target.set_caller_unknown_us(unknownFor);
+    }
     for (const LedgerEntry &entry : message.entries) {
         auto &target = *to.add_entries();
-        target.set_slot(entry.slot);
-        target.set_request_id(entry.requestId.value);
-        target.set_state(writeState(entry.state));
-        target.set_status(entry.status);
-        target.set_known_since(entry.knownSince.value);
+        BOOST_LEAF_CHECK(writeEntry(entry, target));
     }
     return serialise(to);
 }
@@ -249,12 +329,14 @@
     if (!parse(from, bytes))
         return malformed("ledger reply");
     LedgerReply message;
+    for (const auto &slot : from.slots()) {
+        BOOST_LEAF_AUTO(unknownFor, fromMicroseconds(slot.caller_unknown_us()));
+        message.slots.push_back(
+                LedgerSlot{slot.slot(), core::LogOffset(slot.known_since()), unknownFor});
+    }
     for (const auto &entry : from.entries()) {
-        if (entry.request_id().empty())
-            return malformed("request id");
-        message.entries.push_back(LedgerEntry{entry.slot(), core::RequestId(entry.request_id()),
-                                              readState(entry.state()), entry.status(),
-                                              core::LogOffset(entry.known_since())});
+        BOOST_LEAF_AUTO(read, readEntry(entry));
+        message.entries.push_back(std::move(read));
     }
     return message;
 }
--- a/libs/peer/tests/messages_test.cpp
+++ b/libs/peer/tests/messages_test.cpp
@@ -88,6 +88,12 @@
                               *rc::gen::arbitrary<std::uint32_t>(),
                               *rc::gen::arbitrary<std::uint32_t>()};
         });
+        message.reachable = anyList([] { return core::ServerName(anyName()); });
+        message.crashStrikes = anyList([] {
+            return CrashStrike{*rc::gen::arbitrary<std::uint64_t>(), core::ServerName(anyName()),
+                               core::Incarnation(*rc::gen::arbitrary<std::uint64_t>()),
+                               anyDuration()};
+        });
         RC_ASSERT(survives(message, &encodeHeartbeat, &decodeHeartbeat));
     });
 }
@@ -100,6 +106,7 @@
         message.newestOffset = core::LogOffset(*rc::gen::arbitrary<std::uint64_t>());
         message.logAge = anyDuration();
         message.promises = anyList([] { return Promise{anySubject(), anyDuration()}; });
+        message.newer = anyList(anySubject);
         RC_ASSERT(survives(message, &encodeHeartbeatReply, &decodeHeartbeatReply));
     });
 }
@@ -114,13 +121,23 @@
         RC_ASSERT(survives(request, &encodeLedgerRequest, &decodeLedgerRequest));
         LedgerReply reply;
         reply.entries = anyList([] {
+            LedgerEntry entry;
+            entry.slot = *rc::gen::arbitrary<std::uint32_t>();
             // A caller chooses the id, so it may hold any bytes.
-            return LedgerEntry{*rc::gen::arbitrary<std::uint32_t>(),
-                               core::RequestId("i" + *rc::gen::arbitrary<std::string>()),
-                               *rc::gen::element(LedgerState::InFlight, LedgerState::Answered,
-                                                 LedgerState::Unknown),
-                               *rc::gen::arbitrary<std::uint32_t>(),
-                               core::LogOffset(*rc::gen::arbitrary<std::uint64_t>())};
+            entry.requestId = core::RequestId("i" + *rc::gen::arbitrary<std::string>());
+            entry.state = *rc::gen::element(LedgerState::InFlight, LedgerState::Answered,
+                                            LedgerState::Unknown, LedgerState::NotRun);
+            entry.fingerprint = *rc::gen::arbitrary<std::uint64_t>();
+            entry.age = anyDuration();
+            entry.status = *rc::gen::arbitrary<std::uint32_t>();
+            entry.bodyStored = *rc::gen::arbitrary<bool>();
+            entry.body = *rc::gen::arbitrary<std::string>();
+            entry.headers = {core::Header{"Content-Type", *rc::gen::arbitrary<std::string>()}};
+            return entry;
+        });
+        reply.slots = anyList([] {
+            return LedgerSlot{*rc::gen::arbitrary<std::uint32_t>(),
+                              core::LogOffset(*rc::gen::arbitrary<std::uint64_t>()), anyDuration()};
         });
         RC_ASSERT(survives(reply, &encodeLedgerReply, &decodeLedgerReply));
     });
