--- a/tools/amaranthdaled/main.cpp
+++ b/tools/amaranthdaled/main.cpp
@@ -115,7 +115,7 @@
         if (!settings)
             return exitFailed;
         return parsed.count("check") ? EXIT_SUCCESS : run(*settings);
-    } catch (const cxxopts::OptionException &error) {
+    } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << error.what() << "; see --help\n";
         return exitUsage;
     }
