--- a/libs/decisions/include/amaranthdale/decisions/concurrency_limit.h
+++ b/libs/decisions/include/amaranthdale/decisions/concurrency_limit.h
@@ -70,6 +70,7 @@
     static constexpr std::size_t recentSize = 5;
 
     void noteLatency(Milliseconds latency);
+    bool latencyUsual() const;
     bool latencyStepped() const;
     void growIfProven(unsigned inFlight, core::TimePoint now);
     void cut(const char *cause, core::TimePoint now);
@@ -84,6 +85,7 @@
     Milliseconds baseline{0};      // Slow average; a sample counts for at most the step factor.
     unsigned baselineSamples = 0;  // Up to the weight of the slow average.
     Milliseconds recentAverage{0}; // Fast average.
+    unsigned elevated = 0;         // Answers in a row with a fast average far above the baseline.
     std::array<Milliseconds, recentSize> recent{};
     std::size_t recentNext = 0;
     std::size_t recentCount = 0;
--- a/libs/decisions/include/amaranthdale/decisions/retry_policy.h
+++ b/libs/decisions/include/amaranthdale/decisions/retry_policy.h
@@ -9,7 +9,8 @@
 
 namespace amaranthdale::decisions {
 
-/// Allows retries and hedges up to one tenth of first attempts.
+/// Allows retries and hedges up to one tenth of first attempts. Not thread-safe: the policies of
+/// one service share a budget and a random source, so guard them together.
 class RetryBudget
 {
 public:
--- a/libs/decisions/src/concurrency_limit.cpp
+++ b/libs/decisions/src/concurrency_limit.cpp
@@ -22,13 +22,18 @@
 // One request alone has to be much later than that before it counts as a sign by itself.
 constexpr double overdueFactor = 16;
 constexpr Milliseconds minOverdue{20};
-// Growth stops well below a step.
-constexpr double growthFactor = 1.5;
+// Growth stops, and the baseline all but stops, well below a step. An earlier version let the
+// baseline follow: a server that bore one request was taken for healthy at four.
+constexpr double usualFactor = 1.5;
+// A fast average this high for so many answers is a step as well, if a smaller one.
+constexpr double elevatedFactor = 2;
+constexpr unsigned elevatedAnswers = 12;
 
 constexpr double recentWeight = 1.0 / 8;
 constexpr unsigned baselineWeight = 128;
-// During a step the baseline follows so slowly that a straggler isn't taken for the usual state.
-constexpr unsigned baselineWeightInStep = 4096;
+// At unusual latency the baseline follows so slowly that a straggler isn't taken for the usual
+// state.
+constexpr unsigned baselineWeightUnusual = 4096;
 constexpr unsigned minBaselineSamples = 16;
 
 // A report that the server has not repeated for this long says nothing.
@@ -67,6 +72,8 @@
     this->noteLatency(latency);
     if (this->latencyStepped())
         this->cut("latency step", now);
+    else if (this->elevated >= elevatedAnswers)
+        this->cut("latency above the usual", now);
     else
         this->growIfProven(inFlight, now);
 }
@@ -81,11 +88,19 @@
     const Milliseconds capped = known ? std::min(latency, this->baseline * stepFactor) : latency;
     if (this->baselineSamples < baselineWeight)
         ++this->baselineSamples;
-    const unsigned weight = this->latencyStepped() ? baselineWeightInStep : this->baselineSamples;
-    this->baseline += (capped - this->baseline) / weight;
-    if (this->recentAverage == Milliseconds::zero())
-        this->recentAverage = this->baseline;
+    if (this->baselineSamples == 1)
+        this->recentAverage = latency;
     this->recentAverage += (capped - this->recentAverage) * recentWeight;
+    const unsigned weight =
+            known && !this->latencyUsual() ? baselineWeightUnusual : this->baselineSamples;
+    this->baseline += (capped - this->baseline) / weight;
+    const bool high = known && this->recentAverage > this->baseline * elevatedFactor;
+    this->elevated = high ? this->elevated + 1 : 0;
+}
+
+bool AdaptiveLimit::latencyUsual() const
+{
+    return this->recentAverage <= this->baseline * usualFactor;
 }
 
 bool AdaptiveLimit::latencyStepped() const
@@ -102,8 +117,7 @@
 {
     // A value that is not used shows nothing about the next one.
     const bool used = 2 * inFlight >= this->limit;
-    const bool usual = this->recentAverage <= this->baseline * growthFactor;
-    if (!used || !usual)
+    if (!used || !this->latencyUsual())
         return;
     ++this->answersAtValue;
     const bool proven = this->answersAtValue >= answersPerSlot * this->limit
@@ -127,6 +141,7 @@
     this->cause = newCause;
     this->changedAt = now;
     this->answersAtValue = 0;
+    this->elevated = 0;
 }
 
 void AdaptiveLimit::refused(core::TimePoint now)
--- a/libs/decisions/tests/load_test.cpp
+++ b/libs/decisions/tests/load_test.cpp
@@ -135,6 +135,24 @@
     CHECK(failures <= 9);
 }
 
+TEST_CASE("a cold server that slows down without refusing isn't taken for healthy")
+{
+    // It bears one request; a second makes both take four times as long.
+    AdaptiveLimit limit(fourSlots, start);
+    core::TimePoint now = start;
+    unsigned highest = 0;
+    core::Duration above{};
+    while (now < start + seconds(30)) {
+        const unsigned inFlight = limit.current(now);
+        const core::Duration latency = usual * inFlight * inFlight;
+        highest = std::max(highest, inFlight);
+        above += inFlight > 1 ? latency / inFlight : core::Duration();
+        limit.answered(latency, inFlight, now += latency / inFlight);
+    }
+    CHECK(highest == 2);
+    CHECK(above < seconds(3));
+}
+
 TEST_CASE("a report lowers the limit, never raises it, and lapses when it isn't repeated")
 {
     AdaptiveLimit limit(fourSlots, start);
