Tighten two tests of the request decisions

Cause: a fault put in on a scratch copy, a baseline that follows a straggler, passed the tests, and the property didn't check authority itself. Change: the straggler lasts 30 s instead of 5 s in its test, and the dispatcher property asserts authority at each send.

--- a/libs/decisions/tests/load_test.cpp
+++ b/libs/decisions/tests/load_test.cpp
@@ -82,7 +82,7 @@
         limit.answered(usual * 10, 4, now);
     CHECK(limit.current(now) == 1);
     CHECK(limit.reason(now) == "1 of 4 slots: latency step");
-    now = answerFor(limit, usual * 10, seconds(5), now);
+    now = answerFor(limit, usual * 10, seconds(30), now);
     CHECK(limit.current(now) == 1);
     now = answerFor(limit, usual, seconds(4), now);
     CHECK(limit.current(now) == 4);
--- a/libs/decisions/tests/request_property_test.cpp
+++ b/libs/decisions/tests/request_property_test.cpp
@@ -32,6 +32,7 @@
     std::unique_ptr<ServerDispatcher> dispatcher;
     std::map<Ticket, RequestInfo> requests;
     std::vector<Ticket> inFlight;
+    bool authority = true;
 };
 
 // One slot whose controller changes, and callers that send their ids again and again.
@@ -160,10 +161,13 @@
     {
         ServerDispatcher &dispatcher = *controller.dispatcher;
         const bool newest = &controller == &this->controllers.back();
-        if (choice % 2 == 0)
+        if (choice % 2 == 0) {
+            controller.authority = false;
             this->carryOut(controller, dispatcher.authorityLost(this->now));
-        else if (newest)
+        } else if (newest) {
+            controller.authority = true;
             this->carryOut(controller, dispatcher.authorityHeld(this->now));
+        }
     }
 
     void changeAdmission(Controller &controller, std::uint32_t choice)
@@ -187,6 +191,7 @@
         ++this->logEnd;
         std::optional<SlotMemory> memory;
         if (transfer) {
+            source.authority = false;
             this->carryOut(source, source.dispatcher->authorityLost(this->now));
             memory = source.dispatcher->exportSlot(0, this->now);
             this->carryOut(source, source.dispatcher->dropSlot(0, this->now));
@@ -208,6 +213,7 @@
                 if (!request.idempotent)
                     RC_ASSERT(this->mayHaveRun.insert(request.id).second);
                 controller.inFlight.push_back(send->ticket);
+                RC_ASSERT(controller.authority);
                 sentAny = true;
             }
             if (const auto *refuse = std::get_if<RefuseRequest>(&action)) {
@@ -232,7 +238,9 @@
 
 } // namespace
 
-TEST_CASE("dispatchers: no payment is sent twice, no false not run, in flight within the limit")
+TEST_CASE(
+        "dispatchers: no payment is sent twice, no false not run, nothing sent above the limit or "
+        "without authority")
 {
     CHECK(rc::check([] {
         World world;
