--- a/tests/support/test_support.h
+++ b/tests/support/test_support.h
@@ -6,6 +6,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <memory>
@@ -89,6 +91,87 @@
     return future.get();
 }
 
+/// An exchange that reports its cancellation.
+class CancelFlag : public core::Exchange
+{
+public:
+    void cancel() override
+    {
+        if (!this->done.exchange(true))
+            this->promise.set_value();
+    }
+
+    bool wait()
+    {
+        return this->promise.get_future().wait_for(longWait) == std::future_status::ready;
+    }
+
+private:
+    std::atomic<bool> done{false};
+    std::promise<void> promise;
+};
+
+/// Makes a body of `total` bytes, in which each byte depends on its position, chunk by chunk.
+class PatternBody : public core::BodyReader
+{
+public:
+    PatternBody(std::uint64_t totalBytes, std::size_t chunkSize)
+        : total(totalBytes), chunkBytes(chunkSize)
+    { }
+
+    void read(std::function<void(core::Outcome<core::BodyChunk>)> handler) override
+    {
+        const std::uint64_t left = this->total - this->produced;
+        const auto size = static_cast<std::size_t>(std::min<std::uint64_t>(left, this->chunkBytes));
+        core::BodyChunk chunk;
+        chunk.data.resize(size);
+        for (char &byte : chunk.data)
+            byte = byteAt(this->produced++);
+        chunk.last = this->produced == this->total;
+        handler(std::move(chunk));
+    }
+
+    static char byteAt(std::uint64_t position)
+    {
+        constexpr std::uint64_t prime = 251;
+        return static_cast<char>(position % prime);
+    }
+
+    std::atomic<std::uint64_t> produced{0};
+
+private:
+    const std::uint64_t total;
+    const std::size_t chunkBytes;
+};
+
+/// A body that ends with an error after `text`.
+class BrokenBody : public core::BodyReader
+{
+public:
+    explicit BrokenBody(std::string beginning) : text(std::move(beginning)) { }
+
+    void read(std::function<void(core::Outcome<core::BodyChunk>)> handler) override
+    {
+        if (this->text.empty())
+            return handler(core::Error{core::ErrorKind::ConnectionLost, "source lost"});
+        handler(core::BodyChunk{std::exchange(this->text, {}), false});
+    }
+
+private:
+    std::string text;
+};
+
+/// Reads a chunk and waits for it.
+inline core::Outcome<core::BodyChunk> readChunk(core::BodyReader &body)
+{
+    auto promise = std::make_shared<std::promise<core::Outcome<core::BodyChunk>>>();
+    auto future = promise->get_future();
+    body.read([promise](auto chunk) { promise->set_value(std::move(chunk)); });
+    if (future.wait_for(longWait) != std::future_status::ready)
+        return core::Error{core::ErrorKind::Internal, "no call of the chunk handler"};
+    return future.get();
+}
+
 inline const core::Endpoint anyLoopbackPort{"127.0.0.1", 0};
 
 } // namespace amaranthdale::testing
