--- a/libs/net/src/acceptor.cpp
+++ b/libs/net/src/acceptor.cpp
@@ -45,14 +45,13 @@
 void ConnectionSet::drainAll(std::function<void()> drained)
 {
     const auto open = this->current();
-    bool empty = false;
     {
         std::lock_guard lock(this->mutex);
-        empty = this->connections.empty();
-        if (!empty)
-            this->whenEmpty = std::move(drained);
+        if (!this->connections.empty())
+            std::swap(this->whenEmpty, drained);
     }
-    if (empty)
+    // Still set only when no connection was open.
+    if (drained)
         return drained();
     for (const auto &connection : open)
         connection->drain();
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -1,7 +1,7 @@
 // Conversion between the plain structs of control messages and protobuf.
 #include "amaranthdale/peer/messages.h"
 
-#include "generated/control.pb.h"
+#include <control.pb.h>
 
 namespace amaranthdale::peer {
 
--- /dev/null
+++ b/libs/peer/tests/transport_test.cpp
@@ -0,0 +1,335 @@
+// Peer transport: streaming, flow control, error kinds, lost and returning peers, shutdown.
+#include "raw_socket.h"
+#include "test_support.h"
+
+#include "amaranthdale/peer/transport.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace amaranthdale;
+using namespace amaranthdale::testing;
+
+namespace {
+
+using Respond = core::ResponseHandler;
+
+core::HttpRequest forward(std::string body = {})
+{
+    return {"POST", "/forward", {}, std::move(body)};
+}
+
+core::ErrorKind kindOf(const core::Outcome<core::HttpResponse> &outcome)
+{
+    return outcome ? core::ErrorKind::Internal : outcome.error().kind;
+}
+
+std::shared_ptr<core::Exchange> answer(core::HttpRequest request, const Respond &respond)
+{
+    respond(core::makeResponse(200, request.body));
+    return nullptr;
+}
+
+struct Fixture
+{
+    explicit Fixture(FunctionHandler::Function function = &answer, peer::SessionLimits limits = {})
+        : handler(std::move(function)), client(peer::makePeerClient(this->workers.context, limits))
+    {
+        this->listen(anyLoopbackPort, limits);
+    }
+
+    void listen(const core::Endpoint &address, peer::SessionLimits limits = {})
+    {
+        auto made = core::attempt([&] {
+            return peer::makePeerServer(this->workers.context, address, this->handler, limits);
+        });
+        REQUIRE(made);
+        this->server = std::move(*made);
+        this->to = this->server->localEndpoint();
+    }
+
+    Workers workers;
+    FunctionHandler handler;
+    std::unique_ptr<core::HttpSender> client;
+    std::unique_ptr<core::HttpListener> server;
+    core::Endpoint to;
+};
+
+// Sends without waiting.
+std::future<core::Outcome<core::HttpResponse>> begin(Fixture &fixture, core::HttpRequest request,
+                                                     core::Duration timeout = longWait,
+                                                     std::shared_ptr<core::Exchange> *out = nullptr)
+{
+    auto promise = std::make_shared<std::promise<core::Outcome<core::HttpResponse>>>();
+    auto exchange =
+            fixture.client->send(fixture.to, std::move(request), timeout, [promise](auto outcome) {
+                promise->set_value(std::move(outcome));
+            });
+    if (out)
+        *out = exchange;
+    return promise->get_future();
+}
+
+core::Outcome<core::HttpResponse> finish(std::future<core::Outcome<core::HttpResponse>> &future)
+{
+    if (future.wait_for(longWait) != std::future_status::ready)
+        return core::Error{core::ErrorKind::Internal, "no call of the response handler"};
+    return future.get();
+}
+
+} // namespace
+
+TEST_CASE("each of many concurrent requests gets its own response, though they share a connection")
+{
+    Fixture fixture;
+    std::vector<std::future<core::Outcome<core::HttpResponse>>> futures;
+    for (int i = 0; i < 2000; ++i)
+        futures.push_back(begin(fixture, forward("request " + std::to_string(i))));
+    int crossed = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const auto response = finish(futures[static_cast<std::size_t>(i)]);
+        REQUIRE(response);
+        crossed += *bodyOf(*response) != "request " + std::to_string(i) ? 1 : 0;
+    }
+    CHECK(crossed == 0);
+}
+
+TEST_CASE("a large response is read ahead by its window only, and doesn't hold up other streams")
+{
+    constexpr std::uint64_t total = 64ULL * 1024 * 1024;
+    // The window of the stream, and a chunk and a batch of frames on the sender's side.
+    constexpr std::uint64_t readAhead = 1024 * 1024;
+    auto source = std::make_shared<PatternBody>(total, 64 * 1024);
+    Fixture fixture([&](core::HttpRequest request, const Respond &respond) {
+        if (!request.body.empty())
+            return answer(std::move(request), respond);
+        core::HttpResponse response;
+        response.contentLength = total;
+        response.body = source;
+        respond(std::move(response));
+        return std::shared_ptr<core::Exchange>();
+    });
+    const auto response = sendAndWait(*fixture.client, fixture.to, forward());
+    REQUIRE(response);
+    CHECK(response->contentLength == total);
+    for (int i = 0; i < 100; ++i)
+        REQUIRE(sendAndWait(*fixture.client, fixture.to, forward("small")));
+    CHECK(source->produced < readAhead);
+    std::uint64_t received = 0;
+    bool intact = true;
+    for (bool last = false; !last;) {
+        const auto chunk = readChunk(*response->body);
+        REQUIRE(chunk);
+        for (const char byte : chunk->data)
+            intact = intact && byte == PatternBody::byteAt(received++);
+        last = chunk->last;
+        intact = intact && source->produced - received < readAhead;
+    }
+    CHECK(intact);
+    CHECK(received == total);
+}
+
+TEST_CASE("a response that ends short is an error, with or without an announced length")
+{
+    Fixture fixture([](core::HttpRequest request, const Respond &respond) {
+        core::HttpResponse response;
+        if (request.body == "length")
+            response.contentLength = 100;
+        response.body = std::make_shared<BrokenBody>("partial");
+        respond(std::move(response));
+        return nullptr;
+    });
+    for (const std::string body : {"length", "open"}) {
+        const auto response = sendAndWait(*fixture.client, fixture.to, forward(body));
+        if (response)
+            CHECK_FALSE(bodyOf(*response));
+        else
+            CHECK(response.error().kind == core::ErrorKind::ConnectionLost);
+    }
+}
+
+TEST_CASE("HEAD and empty responses carry no body, and a body of unknown length arrives whole")
+{
+    Fixture fixture([](core::HttpRequest request, const Respond &respond) {
+        if (request.target == "/stream") {
+            core::HttpResponse response;
+            response.body = std::make_shared<PatternBody>(100'000, 999);
+            respond(std::move(response));
+        } else {
+            respond(core::makeResponse(request.target == "/empty" ? 204 : 200, "12345"));
+        }
+        return nullptr;
+    });
+    const auto head = sendAndWait(*fixture.client, fixture.to, {"HEAD", "/x", {}, {}});
+    REQUIRE(head);
+    CHECK(head->contentLength == 5);
+    CHECK(bodyOf(*head)->empty());
+    const auto empty = sendAndWait(*fixture.client, fixture.to, {"GET", "/empty", {}, {}});
+    REQUIRE(empty);
+    CHECK(bodyOf(*empty)->empty());
+    const auto stream = sendAndWait(*fixture.client, fixture.to, {"GET", "/stream", {}, {}});
+    REQUIRE(stream);
+    CHECK(bodyOf(*stream)->size() == 100'000);
+}
+
+TEST_CASE("Unavailable is given only when no byte was sent, and a refused connect isn't repeated")
+{
+    Fixture fixture;
+    fixture.server.reset();
+    CHECK(kindOf(sendAndWait(*fixture.client, fixture.to, forward()))
+          == core::ErrorKind::Unavailable);
+    CHECK(kindOf(sendAndWait(*fixture.client, fixture.to, forward()))
+          == core::ErrorKind::Unavailable);
+    CHECK(kindOf(sendAndWait(*fixture.client, {"no address", 1}, forward()))
+          == core::ErrorKind::Unavailable);
+}
+
+TEST_CASE("a peer that vanishes fails its streams with ConnectionLost; it is used when it is back")
+{
+    std::promise<void> arrived;
+    Fixture fixture([&](core::HttpRequest request, const Respond &respond) {
+        if (request.body != "hold")
+            return answer(std::move(request), respond);
+        arrived.set_value();
+        return std::shared_ptr<core::Exchange>();
+    });
+    auto held = begin(fixture, forward("hold"));
+    arrived.get_future().wait();
+    const core::Endpoint address = fixture.to;
+    fixture.server.reset();
+    CHECK(kindOf(finish(held)) == core::ErrorKind::ConnectionLost);
+    fixture.listen(address);
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    CHECK(sendAndWait(*fixture.client, fixture.to, forward("again")));
+}
+
+TEST_CASE("a peer that doesn't answer gives Timeout, and the peer learns that the caller gave up")
+{
+    auto flag = std::make_shared<CancelFlag>();
+    Fixture fixture([&](core::HttpRequest, const Respond &) { return flag; });
+    auto late = begin(fixture, forward(), std::chrono::milliseconds(100));
+    CHECK(kindOf(finish(late)) == core::ErrorKind::Timeout);
+    CHECK(flag->wait());
+}
+
+TEST_CASE("cancel resets the stream, so that the peer cancels its work, and reports once")
+{
+    auto flag = std::make_shared<CancelFlag>();
+    std::promise<void> arrived;
+    Fixture fixture([&](core::HttpRequest, const Respond &) {
+        arrived.set_value();
+        return flag;
+    });
+    std::shared_ptr<core::Exchange> exchange;
+    auto future = begin(fixture, forward(), longWait, &exchange);
+    arrived.get_future().wait();
+    exchange->cancel();
+    exchange->cancel();
+    CHECK(kindOf(finish(future)) == core::ErrorKind::ConnectionLost);
+    CHECK(flag->wait());
+}
+
+TEST_CASE("a body given up midway is released by the peer, not produced to its end")
+{
+    auto source = std::make_shared<PatternBody>(std::uint64_t(1) << 40, 64 * 1024);
+    const std::weak_ptr<PatternBody> watch = source;
+    Fixture fixture([&](core::HttpRequest, const Respond &respond) {
+        core::HttpResponse response;
+        response.body = std::exchange(source, nullptr);
+        respond(std::move(response));
+        return nullptr;
+    });
+    {
+        const auto response = sendAndWait(*fixture.client, fixture.to, forward());
+        REQUIRE(response);
+        REQUIRE(readChunk(*response->body));
+    }
+    const auto end = std::chrono::steady_clock::now() + longWait;
+    while (!watch.expired() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    CHECK(watch.expired());
+}
+
+TEST_CASE("a request body beyond the bound resets its stream only")
+{
+    peer::SessionLimits limits;
+    limits.requestBodyBytes = 1000;
+    Fixture fixture(&answer, limits);
+    CHECK(kindOf(sendAndWait(*fixture.client, fixture.to, forward(std::string(200'000, 'x'))))
+          == core::ErrorKind::Protocol);
+    CHECK(sendAndWait(*fixture.client, fixture.to, forward("small")));
+}
+
+TEST_CASE("malformed frames close the session and are counted; other sessions go on")
+{
+    Fixture fixture;
+    REQUIRE(sendAndWait(*fixture.client, fixture.to, forward("before")));
+    const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    // In order: no preface; a frame beyond the largest size; DATA on stream 0; HEADERS that HPACK
+    // can't decode.
+    const std::vector<std::string> attacks{
+            "GET / HTTP/1.1\r\n\r\n",
+            preface + std::string("\0\0\0\x04\0\0\0\0\0\xff\xff\xff\0\0\0\0\0\x01", 18),
+            preface + std::string("\0\0\0\x04\0\0\0\0\0\0\0\x01\0\0\0\0\0\0x", 19),
+            preface + std::string("\0\0\0\x04\0\0\0\0\0\0\0\x02\x01\x05\0\0\0\x01\xff\xff", 20)};
+    for (const std::string &bytes : attacks) {
+        const auto before = peer::sessionCounters().protocolErrors;
+        RawSocket attacker(fixture.to);
+        attacker.write(bytes);
+        attacker.readUntil();
+        CHECK(attacker.sawEnd());
+        CHECK(peer::sessionCounters().protocolErrors == before + 1);
+    }
+    CHECK(sendAndWait(*fixture.client, fixture.to, forward("after")));
+}
+
+TEST_CASE("a server that speaks no HTTP/2 gives an error, not a hang")
+{
+    Workers workers;
+    auto client = peer::makePeerClient(workers.context);
+    RawServer server;
+    std::promise<core::Outcome<core::HttpResponse>> promise;
+    auto future = promise.get_future();
+    client->send(server.endpoint(), forward(), longWait,
+                 [&](auto outcome) { promise.set_value(std::move(outcome)); });
+    RawSocket connection(server.acceptor);
+    connection.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    CHECK(kindOf(finish(future)) == core::ErrorKind::ConnectionLost);
+}
+
+TEST_CASE("drain answers what is in progress and refuses the rest as not run")
+{
+    std::promise<Respond> pending;
+    Fixture fixture([&](core::HttpRequest, const Respond &respond) {
+        pending.set_value(respond);
+        return nullptr;
+    });
+    auto held = begin(fixture, forward());
+    const Respond respond = pending.get_future().get();
+    std::promise<void> drained;
+    auto whenDrained = drained.get_future();
+    fixture.server->drain([&] { drained.set_value(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK(kindOf(sendAndWait(*fixture.client, fixture.to, forward()))
+          == core::ErrorKind::Unavailable);
+    CHECK(whenDrained.wait_for(std::chrono::milliseconds(20)) == std::future_status::timeout);
+    respond(core::makeResponse(200, "done"));
+    const auto response = finish(held);
+    REQUIRE(response);
+    CHECK(*bodyOf(*response) == "done");
+    CHECK(whenDrained.wait_for(longWait) == std::future_status::ready);
+}
+
+TEST_CASE("a client that ends fails what is pending, so that no handler waits forever")
+{
+    std::promise<void> arrived;
+    Fixture fixture([&](core::HttpRequest, const Respond &) {
+        arrived.set_value();
+        return nullptr;
+    });
+    auto held = begin(fixture, forward());
+    arrived.get_future().wait();
+    fixture.client.reset();
+    CHECK(kindOf(finish(held)) == core::ErrorKind::ConnectionLost);
+}
