--- /dev/null
+++ b/fuzz/control_messages.cpp
@@ -0,0 +1,64 @@
+// Fuzz target: decoders of control messages. What one accepts must encode and decode to the same.
+#include "fuzz_main.h"
+
+#include "amaranthdale/core/outcome.h"
+#include "amaranthdale/peer/messages.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace amaranthdale::fuzz {
+
+namespace {
+
+template<class Message>
+void check(std::string_view input, core::Result<std::string> (*encode)(const Message &),
+           core::Result<Message> (*decode)(std::string_view))
+{
+    const auto message = core::attempt([&] { return decode(input); });
+    if (!message)
+        return;
+    const auto bytes = core::attempt([&] { return encode(*message); });
+    const auto copy = bytes ? core::attempt([&] { return decode(*bytes); }) : bytes.error();
+    if (copy && *copy == *message)
+        return;
+    std::cerr << "an accepted message doesn't survive encoding\n";
+    std::abort();
+}
+
+} // namespace
+
+std::vector<std::string> samples()
+{
+    peer::Heartbeat heartbeat;
+    heartbeat.sender = {core::InstanceName("gasabo-1"), core::Incarnation(7)};
+    heartbeat.logAge = std::chrono::milliseconds(40);
+    heartbeat.requestedPromises.push_back({core::ServerName("till-1"), core::Epoch(90)});
+    heartbeat.crashBans.push_back({77, std::chrono::minutes(9)});
+    heartbeat.loads.push_back({core::ServerName("till-1"), 2, 4, 1});
+    peer::HeartbeatReply reply;
+    reply.sender = heartbeat.sender;
+    reply.promises.push_back(
+            {{core::ServerName("till-1"), core::Epoch(90)}, std::chrono::milliseconds(300)});
+    const peer::LedgerRequest request{core::ServiceName("till"), {1, 2, 900}, core::LogOffset(5)};
+    peer::LedgerReply ledger;
+    ledger.entries.push_back(
+            {2, core::RequestId("amd-9-x"), peer::LedgerState::Answered, 200, core::LogOffset(3)});
+    std::vector<std::string> all;
+    for (const auto &encoded : {core::attempt([&] { return encodeHeartbeat(heartbeat); }),
+                                core::attempt([&] { return encodeHeartbeatReply(reply); }),
+                                core::attempt([&] { return encodeLedgerRequest(request); }),
+                                core::attempt([&] { return encodeLedgerReply(ledger); })})
+        all.push_back(*encoded);
+    return all;
+}
+
+void runInput(std::string_view input)
+{
+    check(input, &peer::encodeHeartbeat, &peer::decodeHeartbeat);
+    check(input, &peer::encodeHeartbeatReply, &peer::decodeHeartbeatReply);
+    check(input, &peer::encodeLedgerRequest, &peer::decodeLedgerRequest);
+    check(input, &peer::encodeLedgerReply, &peer::decodeLedgerReply);
+}
+
+} // namespace amaranthdale::fuzz
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -60,6 +60,13 @@
         return this->lastRead == 0 || (this->lastRead < 0 && errno == ECONNRESET);
     }
 
+    /// Tells the other side that nothing more will be sent.
+    void endWriting()
+    {
+        boost::system::error_code ignored;
+        this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
     void close() { this->socket.close(); }
 
 private:
