Add stand-ins of the log service and of backend servers

Cause: instances can only be run and broken against the platform's log and against backend servers that check fences, limits and runs.

Change: log-standin serves the log's protocol with long polls, retention and faults; backend-standin runs requests under grants with warm-up, collapse and faults, and notes each start, grant and run in a history file. Both are RequestHandlers over the paused or the real clock, with thin mains. A hot key is named by the header X-Hot-Key. Only the load figure of a report lags; inFlight doesn't, since it confirms a revocation.

--- /dev/null
+++ b/tools/common/replies.cpp
@@ -0,0 +1,49 @@
+// Responses that all stand-ins share.
+#include "common/replies.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace amaranthdale::tools {
+
+namespace {
+
+class BrokenBody : public core::BodyReader
+{
+public:
+    void read(std::function<void(core::Outcome<core::BodyChunk>)> handler) override
+    {
+        handler(core::Error{core::ErrorKind::ConnectionLost, "response lost as the fault asks"});
+    }
+};
+
+} // namespace
+
+core::HttpResponse replyJson(unsigned status, const boost::json::object &body)
+{
+    return core::makeResponse(status, boost::json::serialize(body));
+}
+
+core::HttpResponse replyError(unsigned status, std::string_view message)
+{
+    return replyJson(status, {{"error", std::string(message)}});
+}
+
+core::HttpResponse replyLost()
+{
+    core::HttpResponse response;
+    response.contentLength = 1;
+    response.body = std::make_shared<BrokenBody>();
+    return response;
+}
+
+void respondAfter(clock::Clock &clock, core::Duration delay, core::ResponseHandler respond,
+                  core::HttpResponse response)
+{
+    if (delay == core::Duration::zero())
+        return respond(std::move(response));
+    clock.schedule(
+            clock.now() + delay,
+            [respond = std::move(respond), response = std::move(response)] { respond(response); });
+}
+
+} // namespace amaranthdale::tools
