--- /dev/null
+++ b/tools/instance_list_standin/list_handler.cpp
@@ -0,0 +1,142 @@
+// The instance list's protocol.
+#include "instance_list_standin/list_handler.h"
+
+#include "amaranthdale/records/duration.h"
+#include "common/http_target.h"
+#include "common/replies.h"
+
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+
+namespace amaranthdale::tools {
+
+namespace {
+
+using platform::ListedInstance;
+using records::ObjectReader;
+using records::Presence;
+
+constexpr core::Duration longestLag = std::chrono::hours(1);
+
+boost::json::object toJson(const ListedInstance &instance)
+{
+    return {{"id", instance.id.name.value},
+            {"incarnation", instance.id.incarnation.value},
+            {"dataCentre", instance.dataCentre.value},
+            {"peerAddress", core::formatEndpoint(instance.peerEndpoint)},
+            {"state", instance.leaving ? "leaving" : "live"}};
+}
+
+void readInstance(ObjectReader &reader, ListedInstance &instance)
+{
+    reader.name("id", instance.id.name);
+    reader.number("incarnation", instance.id.incarnation);
+    reader.name("dataCentre", instance.dataCentre);
+    reader.endpoint("peerAddress", instance.peerEndpoint);
+    std::string text;
+    reader.identifier("state", text);
+    instance.leaving = text == "leaving";
+    if (text != "leaving" && text != "live")
+        reader.fault("state", "unknown; give live or leaving");
+}
+
+} // namespace
+
+ListHandler::ListHandler(clock::Clock &timeSource, core::Duration lag)
+    : clock(timeSource),
+      state(tables::LockRank::Membership, State{{lag, false}, {Version{core::TimePoint(), {}}}})
+{ }
+
+std::shared_ptr<core::Exchange> ListHandler::handle(core::HttpRequest request,
+                                                    core::ResponseHandler respond)
+{
+    respond(this->respondTo(request));
+    return nullptr;
+}
+
+core::HttpResponse ListHandler::respondTo(const core::HttpRequest &request)
+{
+    const std::vector<std::string> segments = parseTarget(request.target).segments;
+    if (segments == std::vector<std::string>{"control"})
+        return this->control(request);
+    if (segments.empty() || segments.front() != "instances" || segments.size() > 2)
+        return replyError(statusNotFound, "no such resource; see /instances");
+    if (this->state.with([](State &held) { return held.faults.down; }))
+        return replyError(statusUnavailable, "the instance list is down; try again later");
+    if (request.method == "GET" && segments.size() == 1)
+        return this->list();
+    if (request.method == "PUT" && segments.size() == 2)
+        return this->enter(core::InstanceName(segments[1]), request.body);
+    if (request.method == "DELETE" && segments.size() == 2)
+        return this->remove(core::InstanceName(segments[1]));
+    return replyError(statusNotFound, "no such operation; see GET /instances");
+}
+
+core::HttpResponse ListHandler::control(const core::HttpRequest &request)
+{
+    ListFaults faults = this->state.with([](State &held) { return held.faults; });
+    if (request.method == "PUT") {
+        auto fault = readBody(request.body, [&faults](ObjectReader &reader) {
+            reader.duration("lag", faults.lag, {}, longestLag, Presence::Optional);
+            reader.flag("down", faults.down, Presence::Optional);
+        });
+        if (fault)
+            return std::move(*fault);
+        this->state.with([&faults](State &held) { held.faults = faults; });
+    }
+    return replyJson(statusOk,
+                     {{"lag", records::formatDuration(faults.lag)}, {"down", faults.down}});
+}
+
+core::HttpResponse ListHandler::list()
+{
+    const Instances shown = this->state.with([now = this->clock.now()](State &held) {
+        const core::TimePoint moment = now - held.faults.lag;
+        const auto version =
+                std::find_if(held.versions.rbegin(), held.versions.rend(),
+                             [moment](const Version &each) { return each.since <= moment; });
+        return version == held.versions.rend() ? held.versions.front().instances
+                                               : version->instances;
+    });
+    boost::json::array instances;
+    for (const auto &[name, instance] : shown)
+        instances.push_back(toJson(instance));
+    return replyJson(statusOk, {{"instances", std::move(instances)}});
+}
+
+core::HttpResponse ListHandler::enter(const core::InstanceName &name, const std::string &body)
+{
+    ListedInstance instance;
+    auto fault = readBody(body, [&](ObjectReader &reader) {
+        readInstance(reader, instance);
+        if (instance.id.name != name)
+            reader.fault("id", "differs from the path; give the same name");
+    });
+    if (fault)
+        return std::move(*fault);
+    this->change([&](Instances &instances) { instances[name] = instance; });
+    return replyJson(statusOk, {});
+}
+
+core::HttpResponse ListHandler::remove(const core::InstanceName &name)
+{
+    this->change([&](Instances &instances) { instances.erase(name); });
+    return replyJson(statusOk, {});
+}
+
+template<class Function>
+void ListHandler::change(Function &&function)
+{
+    const core::TimePoint now = this->clock.now();
+    this->state.with([&](State &held) {
+        Version version{now, held.versions.back().instances};
+        function(version.instances);
+        held.versions.push_back(std::move(version));
+        // The newest version that any reader may still be shown comes first.
+        while (held.versions.size() > 1 && held.versions[1].since <= now - held.faults.lag)
+            held.versions.pop_front();
+    });
+}
+
+} // namespace amaranthdale::tools
