--- a/tools/common/program.cpp
+++ b/tools/common/program.cpp
@@ -6,10 +6,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <iostream>
 #include <thread>
+#include <vector>
 
 namespace amaranthdale::tools {
 
@@ -22,14 +24,6 @@
     std::cerr << "error: " << text << '\n';
 }
 
-void runWorkers(boost::asio::io_context &context, std::size_t count)
-{
-    std::vector<std::jthread> threads;
-    for (std::size_t left = count; left > 1; --left)
-        threads.emplace_back([&context] { context.run(); });
-    context.run();
-}
-
 int serve(const cxxopts::ParseResult &result, const MakeHandler &makeHandler)
 {
     boost::asio::io_context context;
@@ -41,13 +35,9 @@
         printError(listener.error().message);
         return exitFailure;
     }
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code &, int) {
-        clock->schedule(clock->now() + drainLimit, [&context] { context.stop(); });
-        (*listener)->drain([&context] { context.stop(); });
-    });
     std::cout << "listening=" << core::formatEndpoint((*listener)->localEndpoint()) << std::endl;
-    runWorkers(context, result["threads"].as<std::size_t>());
+    runUntilSignal(context, result["threads"].as<std::size_t>(),
+                   [&](std::function<void()> done) { (*listener)->drain(std::move(done)); });
     return exitSuccess;
 }
 
@@ -100,11 +90,33 @@
     return *endpoint;
 }
 
-int runServer(int argc, char **argv, cxxopts::Options options, const MakeHandler &makeHandler)
+void addListenOptions(cxxopts::Options &options)
 {
     options.add_options()("listen", "Address and port; port 0 is chosen by the system",
                           cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
             "threads", "Worker threads", cxxopts::value<std::size_t>()->default_value("2"));
+}
+
+void runUntilSignal(boost::asio::io_context &context, std::size_t threads,
+                    const std::function<void(std::function<void()>)> &drain)
+{
+    const auto stop = [&context] { context.stop(); };
+    boost::asio::steady_timer limit(context);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &, int) {
+        limit.expires_after(drainLimit);
+        limit.async_wait([stop](const boost::system::error_code &) { stop(); });
+        drain(stop);
+    });
+    std::vector<std::jthread> workers;
+    for (std::size_t left = threads; left > 1; --left)
+        workers.emplace_back([&context] { context.run(); });
+    context.run();
+}
+
+int runServer(int argc, char **argv, cxxopts::Options options, const MakeHandler &makeHandler)
+{
+    addListenOptions(options);
     return runProgram(argc, argv, std::move(options),
                       [&makeHandler](const auto &result) { return serve(result, makeHandler); });
 }
--- a/tools/common/program.h
+++ b/tools/common/program.h
@@ -8,7 +8,12 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
 
 namespace amaranthdale::tools {
 
@@ -34,6 +39,14 @@
 /// Value of an option as an endpoint; throws UsageError.
 core::Endpoint endpointOption(const cxxopts::ParseResult &result, const std::string &name);
 
+/// Adds --listen and --threads.
+void addListenOptions(cxxopts::Options &options);
+
+/// Runs `context` with `threads` workers until SIGTERM or SIGINT. Then calls `drain`, which calls
+/// its argument when all work is done, and waits for that at most one second.
+void runUntilSignal(boost::asio::io_context &context, std::size_t threads,
+                    const std::function<void(std::function<void()>)> &drain);
+
 using MakeHandler = std::function<std::unique_ptr<core::RequestHandler>(
         const cxxopts::ParseResult &result, clock::Clock &clock)>;
 
