Open the whole path: caller, entry, controller, backend server and back

Cause: with all parts merged, requests to services without keys were judged by a slot that has no meaning for them, and the fuzz target still built the old ledger message. Change: routing marks requests that any server may answer; the daemon is declared with the tools.

--- a/fuzz/control_messages.cpp
+++ b/fuzz/control_messages.cpp
@@ -42,8 +42,14 @@
             {{core::ServerName("till-1"), core::Epoch(90)}, std::chrono::milliseconds(300)});
     const peer::LedgerRequest request{core::ServiceName("till"), {1, 2, 900}, core::LogOffset(5)};
     peer::LedgerReply ledger;
-    ledger.entries.push_back(
-            {2, core::RequestId("amd-9-x"), peer::LedgerState::Answered, 200, core::LogOffset(3)});
+    peer::LedgerEntry entry;
+    entry.slot = 2;
+    entry.requestId = core::RequestId("amd-9-x");
+    entry.state = peer::LedgerState::Answered;
+    entry.status = 200;
+    entry.body = "paid";
+    ledger.entries.push_back(entry);
+    ledger.slots.push_back({2, core::LogOffset(3), std::chrono::minutes(10)});
     std::vector<std::string> all;
     for (const auto &encoded : {core::attempt([&] { return encodeHeartbeat(heartbeat); }),
                                 core::attempt([&] { return encodeHeartbeatReply(reply); }),
--- a/libs/daemon/src/forward_codec.cpp
+++ b/libs/daemon/src/forward_codec.cpp
@@ -178,6 +178,7 @@
     request.info.fingerprint = fingerprint;
     request.info.deadline = now + std::chrono::microseconds(remaining);
     request.ownerOnly = ownerOnly != 0;
+    request.info.anyServer = !request.ownerOnly;
     if (const auto key = findHeader(headers, "amd-key"))
         request.key = std::string(*key);
     request.request.method = std::move(method);
--- a/libs/decisions/src/routing.cpp
+++ b/libs/decisions/src/routing.cpp
@@ -144,6 +144,7 @@
         routed.key = info.id.value;
     }
     routed.ownerOnly = routed.key.has_value();
+    info.anyServer = !routed.ownerOnly;
     if (routed.key) {
         info.slot = core::slotOf(*routed.key, document.hashSeed, document.hashSlots);
         info.keyHash = core::stableHash(*routed.key, document.hashSeed);
--- a/tools/amaranthdaled/main.cpp
+++ b/tools/amaranthdaled/main.cpp
@@ -22,7 +22,7 @@
 namespace asio = boost::asio;
 using namespace amaranthdale;
 
-constexpr const char *version = "amaranthdaled 0.1.0";
+constexpr const char *version = "amaranthdaled " AMARANTHDALE_VERSION;
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
