--- a/benchmarks/forward.cpp
+++ b/benchmarks/forward.cpp
@@ -147,17 +147,19 @@
                 respond(core::makeResponse(200, std::move(request.body)));
                 return nullptr;
             });
-    const auto &any = testing::anyLoopbackPort;
-    auto backend =
-            core::attempt([&] { return http::makeHttpServer(backendWorkers.context, any, echo); });
+    auto backend = core::attempt([&] {
+        return http::makeHttpServer(backendWorkers.context, testing::anyLoopbackPort, echo);
+    });
     auto backendClient = http::makeBackendClient(peerWorkers.context);
     Forwarder toBackend(*backendClient, (*backend)->localEndpoint());
-    auto peer = core::attempt(
-            [&] { return peer::makePeerServer(peerWorkers.context, any, toBackend); });
+    auto peer = core::attempt([&] {
+        return peer::makePeerServer(peerWorkers.context, testing::anyLoopbackPort, toBackend);
+    });
     auto peerClient = peer::makePeerClient(entryWorkers.context);
     Forwarder toPeer(*peerClient, (*peer)->localEndpoint());
-    auto entry =
-            core::attempt([&] { return http::makeHttpServer(entryWorkers.context, any, toPeer); });
+    auto entry = core::attempt([&] {
+        return http::makeHttpServer(entryWorkers.context, testing::anyLoopbackPort, toPeer);
+    });
     auto loadClient = http::makeBackendClient(loadWorkers.context);
 
     Load load(*loadClient, (*entry)->localEndpoint(), requests);
--- /dev/null
+++ b/libs/net/tests/deadline_test.cpp
@@ -0,0 +1,65 @@
+// Movable time limits and the gate before a request handler.
+#include "test_support.h"
+
+#include "amaranthdale/net/deadline.h"
+#include "amaranthdale/net/handler_gate.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/post.hpp>
+
+using namespace amaranthdale;
+using namespace amaranthdale::testing;
+
+namespace {
+
+struct Limited
+{
+    explicit Limited(boost::asio::io_context &context)
+        : strand(boost::asio::make_strand(context)), deadline(this->strand)
+    { }
+
+    net::Strand strand;
+    net::Deadline deadline;
+    std::promise<core::TimePoint> expired;
+};
+
+} // namespace
+
+TEST_CASE("a limit that is moved later expires at its last time, once, not at the first")
+{
+    Workers workers;
+    auto object = std::make_shared<Limited>(workers.context);
+    auto expired = object->expired.get_future();
+    const auto begin = net::Deadline::now();
+    boost::asio::post(object->strand, [object] {
+        object->deadline.start(object, [target = object.get()] {
+            target->expired.set_value(net::Deadline::now());
+        });
+        object->deadline.setAfter(std::chrono::milliseconds(20));
+        object->deadline.setAfter(std::chrono::milliseconds(120));
+    });
+    REQUIRE(expired.wait_for(longWait) == std::future_status::ready);
+    CHECK(expired.get() - begin >= std::chrono::milliseconds(120));
+}
+
+TEST_CASE("a gate closes only when no call is inside the handler, and lets none in afterwards")
+{
+    std::promise<void> entered;
+    std::promise<void> leave;
+    FunctionHandler handler([&](core::HttpRequest, const core::ResponseHandler &) {
+        entered.set_value();
+        leave.get_future().wait();
+        return nullptr;
+    });
+    net::HandlerGate gate(handler);
+    std::shared_ptr<core::Exchange> exchange;
+    auto call = std::async(std::launch::async, [&] { return gate.handle({}, {}, exchange); });
+    entered.get_future().wait();
+    auto closing = std::async(std::launch::async, [&] { gate.close(); });
+    CHECK(closing.wait_for(std::chrono::milliseconds(30)) == std::future_status::timeout);
+    leave.set_value();
+    CHECK(call.get());
+    REQUIRE(closing.wait_for(longWait) == std::future_status::ready);
+    CHECK_FALSE(gate.handle({}, {}, exchange));
+}
