--- a/tools/backend_standin/run_request.cpp
+++ b/tools/backend_standin/run_request.cpp
@@ -1,20 +1,15 @@
 // The backend server's protocol: requests that run.
 #include "backend_standin/backend_handler.h"
 
-#include "amaranthdale/core/hash.h"
 #include "backend_standin/blob_body.h"
 #include "common/replies.h"
 
 #include <boost/json/serialize.hpp>
 
-#include <array>
-#include <cstdio>
-
 namespace amaranthdale::tools {
 
 namespace {
 
-constexpr std::uint64_t bodyHashSeed = 0;
 constexpr unsigned statusDeadline = 504;
 
 std::string header(const core::HttpRequest &request, std::string_view name)
@@ -22,14 +17,6 @@
     return std::string(core::findHeader(request.headers, name).value_or(""));
 }
 
-std::string hashText(const std::string &body)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx",
-                  static_cast<unsigned long long>(core::stableHash(body, bodyHashSeed)));
-    return text.data();
-}
-
 std::optional<core::Fence> parseFence(const std::string &text)
 {
     const std::size_t dot = text.find('.');
--- a/tools/common/replies.cpp
+++ b/tools/common/replies.cpp
@@ -1,12 +1,19 @@
 // Responses that all stand-ins share.
 #include "common/replies.h"
 
+#include "amaranthdale/core/hash.h"
+
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <cstdio>
+
 namespace amaranthdale::tools {
 
 namespace {
 
+constexpr std::uint64_t bodyHashSeed = 0;
+
 class BrokenBody : public core::BodyReader
 {
 public:
@@ -36,6 +43,14 @@
     return response;
 }
 
+std::string hashText(const std::string &body)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(core::stableHash(body, bodyHashSeed)));
+    return text.data();
+}
+
 void respondAfter(clock::Clock &clock, core::Duration delay, core::ResponseHandler respond,
                   core::HttpResponse response)
 {
--- a/tools/common/replies.h
+++ b/tools/common/replies.h
@@ -23,6 +23,9 @@
 /// A response whose body breaks off before its first byte: the client gets no usable response.
 core::HttpResponse replyLost();
 
+/// Hash of a body as the echo response shows it: 16 hexadecimal digits.
+std::string hashText(const std::string &body);
+
 /// Reads a request body with `read`, which gets an ObjectReader. Returns a 400 response that lists
 /// all faults, or nothing when there were none.
 template<class Function>
--- /dev/null
+++ b/tools/tests/load_tool_test.cpp
@@ -0,0 +1,201 @@
+// Tests of the load tool: it must not take a wrong response for a right one, nor hide a late one.
+#include "common/replies.h"
+#include "load_tool/load_run.h"
+#include "recorder.h"
+
+#include <map>
+
+using namespace amaranthdale;
+using namespace amaranthdale::tools;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Answers each request after 1 ms as an instance with a right backend server would.
+class FakeInstances : public core::HttpSender
+{
+public:
+    explicit FakeInstances(clock::Clock &timeSource) : clock(timeSource) { }
+
+    std::shared_ptr<core::Exchange> send(const core::Endpoint &to, core::HttpRequest request,
+                                         core::Duration, core::ResponseHandler handler) override
+    {
+        ++this->requestsTo[to.port];
+        this->clock.schedule(this->clock.now() + 1ms,
+                             [this, request, handler] { handler(this->answer(request)); });
+        return nullptr;
+    }
+
+    core::Outcome<core::HttpResponse> answer(const core::HttpRequest &request)
+    {
+        if (request.target.starts_with("/-/request-id")) {
+            const std::string first = std::to_string(++this->ids);
+            return replyJson(200, {{"ids", {"id-" + first + "a", "id-" + first + "b"}}});
+        }
+        if (request.method == "POST" && this->loseNext > 0) {
+            --this->loseNext;
+            return core::Error{core::ErrorKind::ConnectionLost, "lost"};
+        }
+        const std::string id(
+                core::findHeader(request.headers, "Idempotency-Key").value_or("issued"));
+        auto response = replyJson(200,
+                                  {{"requestId", this->crossed ? "other" : id},
+                                   {"bodyHash", hashText(request.body)},
+                                   {"method", request.method}});
+        response.headers.push_back({"X-Request-Id", id});
+        response.headers.push_back({"X-Outcome", this->refuse ? "not-run" : "answered"});
+        if (this->cutBodies)
+            response.body = core::makeStringBody("{\"requestId\":");
+        return response;
+    }
+
+    clock::Clock &clock;
+    std::map<std::uint16_t, int> requestsTo;
+    int ids = 0;
+    int loseNext = 0;
+    bool crossed = false;
+    bool refuse = false;
+    bool cutBodies = false;
+};
+
+struct LoadFixture : Recorder
+{
+    LoadFixture()
+    {
+        this->plan.instances = {{"127.0.0.1", 1}, {"127.0.0.1", 2}};
+        this->plan.service = core::ServiceName("till");
+        this->plan.brands = {"a", "b"};
+        this->plan.keys = 100;
+        this->plan.nonIdempotentShare = 0.5;
+        this->plan.concurrency = 2;
+        this->plan.length = 100ms;
+    }
+
+    LoadSummary run()
+    {
+        LoadRun load(this->plan, this->instances, this->clock, this->sink);
+        bool done = false;
+        load.start([&done] { done = true; });
+        this->clock.advance(10s);
+        REQUIRE(done);
+        return load.summary();
+    }
+
+    // Events of non-idempotent requests.
+    std::vector<history::CallEvent> payments() const
+    {
+        std::vector<history::CallEvent> result;
+        for (const history::Event &event : this->sink.events) {
+            const auto &call = std::get<history::CallEvent>(event);
+            if (!call.idempotent)
+                result.push_back(call);
+        }
+        return result;
+    }
+
+    LoadPlan plan;
+    FakeInstances instances{this->clock};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(LoadFixture,
+                  "a closed loop keeps its number in flight and spreads over instances")
+{
+    plan.ownIds = true;
+    const LoadSummary summary = run();
+    CHECK(summary.answered == 200);
+    CHECK(summary.wrong == 0);
+    CHECK(summary.quantile(0.99) == 1ms);
+    CHECK(instances.requestsTo[1] == instances.requestsTo[2]);
+    CHECK(sink.events.size() == 200);
+    CHECK(payments().size() > 60);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "an open loop starts its rate, whatever the responses do")
+{
+    plan.ratePerSecond = 1000;
+    plan.ownIds = true;
+    const LoadSummary summary = run();
+    CHECK(summary.answered >= 99);
+    CHECK(summary.answered <= 101);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "non-idempotent requests get fetched ids, each used once")
+{
+    const LoadSummary summary = run();
+    CHECK(summary.unknown == 0);
+    std::map<std::string, int> uses;
+    for (const history::CallEvent &call : payments()) {
+        CHECK(call.requestId.value.starts_with("id-"));
+        CHECK(++uses[call.requestId.value] == 1);
+    }
+    CHECK_FALSE(uses.empty());
+}
+
+TEST_CASE_FIXTURE(LoadFixture,
+                  "an unanswered payment is sent again under its id, a refused one isn't")
+{
+    plan.ownIds = true;
+    plan.concurrency = 1;
+    plan.nonIdempotentShare = 1;
+    SUBCASE("unanswered")
+    {
+        instances.loseNext = 1;
+        const LoadSummary summary = run();
+        CHECK(summary.resent == 1);
+        CHECK(payments()[0].outcome == history::CallOutcome::Unknown);
+        CHECK(payments()[1].requestId == payments()[0].requestId);
+        CHECK(payments()[1].outcome == history::CallOutcome::Answered);
+    }
+    SUBCASE("unanswered for good")
+    {
+        instances.loseNext = 3;
+        run();
+        CHECK(payments()[2].requestId == payments()[0].requestId);
+        CHECK(payments()[3].requestId != payments()[0].requestId);
+    }
+    SUBCASE("refused")
+    {
+        instances.refuse = true;
+        const LoadSummary summary = run();
+        CHECK(summary.resent == 0);
+        CHECK(summary.answered == 0);
+        CHECK(summary.notRun > 0);
+    }
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "crossed and short responses are counted as such")
+{
+    plan.ownIds = true;
+    SUBCASE("crossed")
+    {
+        instances.crossed = true;
+        const LoadSummary summary = run();
+        CHECK(summary.wrong == summary.answered);
+    }
+    SUBCASE("short")
+    {
+        instances.cutBodies = true;
+        const LoadSummary summary = run();
+        CHECK(summary.shortBodies == summary.answered);
+    }
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "the same seed gives the same requests, hot keys first")
+{
+    RequestMix first(plan);
+    RequestMix second(plan);
+    std::map<std::string, int> keys;
+    for (int index = 0; index < 2000; ++index) {
+        const PlannedRequest request = first.next();
+        const PlannedRequest same = second.next();
+        CHECK(request.http.target == same.http.target);
+        CHECK(request.http.body == same.http.body);
+        ++keys[request.http.headers[0].value];
+    }
+    // With exponent 1 and 100 keys, the first key has a share of 0.193.
+    CHECK(keys["key-0"] > 320);
+    CHECK(keys["key-0"] < 450);
+    CHECK(keys["key-0"] > keys["key-9"]);
+}
