--- a/libs/decisions/src/key_set.h
+++ b/libs/decisions/src/key_set.h
@@ -3,6 +3,7 @@
 
 #include "amaranthdale/decisions/log_records.h"
 
+#include <algorithm>
 #include <set>
 
 namespace amaranthdale::decisions {
@@ -50,4 +51,18 @@
     return keys;
 }
 
+inline bool movesSlot(const SlotRecord &record, core::SlotIndex slot)
+{
+    return std::any_of(record.moves.begin(), record.moves.end(), [slot](const SlotMove &move) {
+        return std::find(move.slots.begin(), move.slots.end(), slot) != move.slots.end();
+    });
+}
+
+inline bool movesHotKey(const SlotRecord &record, const std::string &key)
+{
+    return std::any_of(record.moves.begin(), record.moves.end(), [&key](const SlotMove &move) {
+        return std::find(move.hotKeys.begin(), move.hotKeys.end(), key) != move.hotKeys.end();
+    });
+}
+
 } // namespace amaranthdale::decisions
--- a/libs/decisions/src/ownership_control.cpp
+++ b/libs/decisions/src/ownership_control.cpp
@@ -161,10 +161,10 @@
     return this->policy->authorityUntil(facts);
 }
 
-bool OwnershipEngine::State::hasAuthority(const core::ServerName &server, core::TimePoint now) const
+void OwnershipEngine::State::refreshAuthority()
 {
-    const std::optional<core::TimePoint> until = this->authorityUntil(server);
-    return until && now < *until;
+    for (auto &[name, control] : this->controls)
+        control.limitAuthority(this->authorityUntil(name));
 }
 
 bool OwnershipEngine::State::logIsReachable(core::TimePoint now) const
@@ -182,7 +182,7 @@
     for (auto &[name, control] : this->controls) {
         GrantRound round;
         round.now = now;
-        round.hasAuthority = this->hasAuthority(name, now);
+        round.hasAuthority = control.hasAuthority(now);
         round.logIsFresh = this->logIsFresh(now);
         round.wanted = this->owned[name];
         round.wanted.remove(this->proposals.withheldFrom(name));
@@ -193,15 +193,18 @@
     }
 }
 
-bool OwnershipEngine::State::isOpen(const core::ServerName &server, const KeySet &keys) const
+bool OwnershipEngine::State::isOpen(const core::ServerName &server, core::SlotIndex slot) const
 {
-    KeySet closed = this->proposals.withheldFrom(server);
     const auto move = this->moves.find(server);
-    if (move != this->moves.end())
-        closed.add(keysOf(move->second.record));
-    KeySet open = keys;
-    open.remove(closed);
-    return open == keys;
+    const bool moving = move != this->moves.end() && movesSlot(move->second.record, slot);
+    return !moving && !this->proposals.isWithheld(server, slot);
+}
+
+bool OwnershipEngine::State::isOpen(const core::ServerName &server, const std::string &hotKey) const
+{
+    const auto move = this->moves.find(server);
+    const bool moving = move != this->moves.end() && movesHotKey(move->second.record, hotKey);
+    return !moving && !this->proposals.isWithheld(server, hotKey);
 }
 
 void OwnershipEngine::State::sendHeartbeats(core::TimePoint now)
--- a/libs/decisions/src/ownership_engine.cpp
+++ b/libs/decisions/src/ownership_engine.cpp
@@ -29,16 +29,20 @@
         this->logReadAt.reset();
         this->promisesHeld.clear();
         this->detector.restartSilence(now);
+        this->refreshAuthority();
     }
     this->lastSeen = std::max(this->lastSeen, now);
 }
 
 void OwnershipEngine::State::poll(core::TimePoint now)
 {
+    this->refreshAuthority();
     this->pollMoves(now);
     this->pollGrants(now);
     this->sendHeartbeats(now);
     this->pollProposals(now);
+    // A change that was just proposed limits the authority before its append is sent.
+    this->refreshAuthority();
 }
 
 // A promise also covers changes that this instance proposed earlier and that may still apply.
@@ -226,7 +230,7 @@
     const bool stalled = now - this->state->lastSeen > this->state->settings.timings.promise;
     if (control == this->state->controls.end() || stalled)
         return std::nullopt;
-    return this->state->hasAuthority(server, now) ? control->second.fence(now) : std::nullopt;
+    return control->second.hasAuthority(now) ? control->second.fence(now) : std::nullopt;
 }
 
 std::optional<core::Fence> OwnershipEngine::mayServeSlot(const core::ServerName &server,
@@ -235,7 +239,7 @@
 {
     const std::optional<core::Fence> fence = this->mayServe(server, now);
     const bool open = fence && this->state->controls.at(server).isGranted(slot)
-            && this->state->isOpen(server, KeySet{{slot}, {}});
+            && this->state->isOpen(server, slot);
     return open ? fence : std::nullopt;
 }
 
@@ -245,7 +249,7 @@
 {
     const std::optional<core::Fence> fence = this->mayServe(server, now);
     const bool open = fence && this->state->controls.at(server).isGranted(key)
-            && this->state->isOpen(server, KeySet{{}, {key}});
+            && this->state->isOpen(server, key);
     return open ? fence : std::nullopt;
 }
 
--- a/libs/decisions/src/ownership_moves.cpp
+++ b/libs/decisions/src/ownership_moves.cpp
@@ -40,8 +40,8 @@
             this->releaseLost(name, control, now);
             continue;
         }
-        const bool possible = this->logIsReachable(now) && control.isReachable(now)
-                && this->hasAuthority(name, now);
+        const bool possible =
+                this->logIsReachable(now) && control.isReachable(now) && control.hasAuthority(now);
         if (!possible)
             this->abandonMove(name);
         else if (this->moves.contains(name))
@@ -136,9 +136,9 @@
         const std::size_t batch = std::max(drainBatch, (held.slots.size() + 3) / 4);
         return firstOf(this->placement->moveAway(present, service, name), batch);
     }
-    std::vector<SlotMove> moves =
+    std::vector<SlotMove> chosen =
             this->placement->rebalance(present, service, name, rebalanceBatch);
-    return moves.empty() ? this->chooseHotKeyMove(name, present) : moves;
+    return chosen.empty() ? this->chooseHotKeyMove(name, present) : chosen;
 }
 
 std::vector<SlotMove> OwnershipEngine::State::chooseHotKeyMove(const core::ServerName &name,
--- a/libs/decisions/src/ownership_state.h
+++ b/libs/decisions/src/ownership_state.h
@@ -55,12 +55,13 @@
     core::Duration requestTimeoutOf(const ServerState &server) const;
     void followOwners(const ClusterState *before, core::TimePoint now);
     std::optional<core::TimePoint> authorityUntil(const core::ServerName &server) const;
-    bool hasAuthority(const core::ServerName &server, core::TimePoint now) const;
+    void refreshAuthority();
     bool logIsReachable(core::TimePoint now) const;
     bool logIsFresh(core::TimePoint now) const;
     void pollGrants(core::TimePoint now);
     void sendHeartbeats(core::TimePoint now);
-    bool isOpen(const core::ServerName &server, const KeySet &keys) const;
+    bool isOpen(const core::ServerName &server, core::SlotIndex slot) const;
+    bool isOpen(const core::ServerName &server, const std::string &hotKey) const;
 
     // Moves of slots (ownership_moves.cpp).
     void pollMoves(core::TimePoint now);
--- a/libs/decisions/src/proposals.cpp
+++ b/libs/decisions/src/proposals.cpp
@@ -147,6 +147,22 @@
     return keys;
 }
 
+bool Proposals::isWithheld(const core::ServerName &server, core::SlotIndex slot) const
+{
+    return std::any_of(this->open.begin(), this->open.end(), [&](const Open &each) {
+        const auto *move = std::get_if<SlotRecord>(&each.record.body);
+        return move && move->from == server && movesSlot(*move, slot);
+    });
+}
+
+bool Proposals::isWithheld(const core::ServerName &server, const std::string &hotKey) const
+{
+    return std::any_of(this->open.begin(), this->open.end(), [&](const Open &each) {
+        const auto *move = std::get_if<SlotRecord>(&each.record.body);
+        return move && move->from == server && movesHotKey(*move, hotKey);
+    });
+}
+
 std::vector<core::ServerName> Proposals::serversToVoid() const
 {
     std::vector<core::ServerName> servers;
--- a/libs/decisions/src/proposals.h
+++ b/libs/decisions/src/proposals.h
@@ -36,6 +36,8 @@
     bool anyControllerChangeOpen() const;
     bool initialAssignmentOpen(const core::ServiceName &service) const;
     bool moveOpenFrom(const core::ServerName &server) const;
+    bool isWithheld(const core::ServerName &server, core::SlotIndex slot) const;
+    bool isWithheld(const core::ServerName &server, const std::string &hotKey) const;
     KeySet withheldFrom(const core::ServerName &server) const;
 
     // Servers with a move that was dropped on replay although a second copy could still apply.
--- a/libs/decisions/src/server_control.h
+++ b/libs/decisions/src/server_control.h
@@ -50,6 +50,13 @@
                   std::vector<OwnershipAction> &actions);
     void poll(const GrantRound &round, std::vector<OwnershipAction> &actions);
 
+    // Time at which the authority over the server ends; kept here for the checks of each request.
+    void limitAuthority(std::optional<core::TimePoint> until) { this->authorityUntil = until; }
+    bool hasAuthority(core::TimePoint now) const
+    {
+        return this->authorityUntil && now < *this->authorityUntil;
+    }
+
     // A newer epoch exists: nothing may be sent from now on.
     void supersede() { this->superseded = true; }
 
@@ -92,6 +99,7 @@
     KeySet lastSent;
     GrantMachine machine;
 
+    std::optional<core::TimePoint> authorityUntil;
     std::optional<core::Incarnation> incarnation;
     std::optional<core::Incarnation> grantedIncarnation;
     core::Duration serverNow{};
--- a/libs/decisions/tests/ownership_check.cpp
+++ b/libs/decisions/tests/ownership_check.cpp
@@ -65,22 +65,42 @@
     });
 }
 
-bool Model::isServed(core::SlotIndex slot) const
+// What every slot's servers and their controllers do right now.
+std::vector<SlotView> Model::observe() const
 {
+    std::vector<SlotView> views(this->settings.slots);
     for (const auto &server : this->servers) {
-        if (!server->runs() || !this->holds(*server, slot))
+        if (!server->alive)
             continue;
-        const core::ServerName name(server->name);
+        const bool leased = this->clockOf(*server) < server->expiresAt;
+        if (server->checksFence && leased) {
+            for (core::SlotIndex slot : server->slots)
+                views[slot].holders.insert(server.get());
+        }
         for (const auto &instance : this->instances) {
-            if (!instance->runs() || !this->linked(instance->name, server->name))
-                continue;
-            const std::optional<core::Fence> fence =
-                    instance->engine->mayServeSlot(name, slot, this->now());
-            if (fence && (!server->checksFence || fence->epoch == server->fence.epoch))
-                return true;
+            if (instance->runs())
+                this->observe(*server, *instance, views);
         }
     }
-    return false;
+    return views;
+}
+
+void Model::observe(const ModelServer &server, const ModelInstance &instance,
+                    std::vector<SlotView> &views) const
+{
+    const core::ServerName name(server.name);
+    const std::optional<core::Fence> fence = instance.engine->mayServe(name, this->now());
+    if (!fence)
+        return;
+    const bool answers = server.runs() && this->linked(instance.name, server.name)
+            && (!server.checksFence || fence->epoch == server.fence.epoch);
+    for (core::SlotIndex slot = 0; slot < views.size(); ++slot) {
+        if (!instance.engine->mayServeSlot(name, slot, this->now()))
+            continue;
+        if (!server.checksFence)
+            views[slot].holders.insert(&server);
+        views[slot].served |= answers && views[slot].holders.contains(&server);
+    }
 }
 
 // One request per slot; it runs when it is read before its deadline and the server lets it.
@@ -111,26 +131,25 @@
     }
 }
 
-void Model::check()
+void Model::check(const std::vector<SlotView> &views)
 {
-    for (core::SlotIndex slot = 0; slot < this->settings.slots; ++slot) {
-        const ModelServer *owner = nullptr;
-        for (const auto &server : this->servers) {
-            if (!this->holds(*server, slot))
-                continue;
-            if (owner)
-                this->breach("slot " + std::to_string(slot) + " is served by " + owner->name
-                             + " and " + server->name);
-            owner = server.get();
-        }
+    for (core::SlotIndex slot = 0; slot < views.size(); ++slot) {
+        if (views[slot].holders.size() < 2)
+            continue;
+        std::string names;
+        for (const ModelServer *holder : views[slot].holders)
+            names += " " + holder->name;
+        this->breach("slot " + std::to_string(slot) + " is served by" + names);
     }
     for (const auto &server : this->servers) {
+        if (server->checksFence)
+            continue;
         const core::ServerName name(server->name);
         const auto controllers = std::count_if(
                 this->instances.begin(), this->instances.end(), [&](const auto &instance) {
                     return instance->runs() && instance->engine->mayServe(name, this->now());
                 });
-        if (!server->checksFence && controllers > 1)
+        if (controllers > 1)
             this->breach("two instances send to " + server->name + ", which checks no fence");
     }
 }
@@ -149,10 +168,10 @@
     this->unservedSince.clear();
 }
 
-void Model::measure()
+void Model::measure(const std::vector<SlotView> &views)
 {
     for (core::SlotIndex slot = 0; slot < this->settings.slots; ++slot) {
-        if (this->isServed(slot)) {
+        if (views[slot].served) {
             this->unservedSince.erase(slot);
             continue;
         }
--- a/libs/decisions/tests/ownership_model.cpp
+++ b/libs/decisions/tests/ownership_model.cpp
@@ -155,11 +155,9 @@
 {
     const core::TimePoint end = this->now() + limit;
     const auto allServed = [this] {
-        for (core::SlotIndex slot = 0; slot < this->settings.slots; ++slot) {
-            if (!this->isServed(slot))
-                return false;
-        }
-        return true;
+        const std::vector<SlotView> views = this->observe();
+        return std::all_of(views.begin(), views.end(),
+                           [](const SlotView &view) { return view.served; });
     };
     while (this->now() < end && !allServed())
         this->step();
@@ -190,8 +188,9 @@
         if (this->steps % 5 == 0)
             this->sendRequests(*instance);
     }
-    this->check();
-    this->measure();
+    const std::vector<SlotView> views = this->observe();
+    this->check(views);
+    this->measure(views);
 }
 
 void Model::carryOut(ModelInstance &instance)
--- a/libs/decisions/tests/ownership_model.h
+++ b/libs/decisions/tests/ownership_model.h
@@ -63,6 +63,13 @@
     std::set<core::SlotIndex> slots;
 };
 
+// A slot at one moment.
+struct SlotView
+{
+    std::set<const ModelServer *> holders; // Servers that would run a request for it.
+    bool served = false;                   // One of them answers its controller.
+};
+
 class Model
 {
 public:
@@ -93,7 +100,6 @@
     ModelInstance &controllerOf(const ModelServer &server);
     ModelInstance &successorOf(const ModelServer &server, std::size_t index);
     ModelInstance *findInstance(const core::InstanceId &id);
-    bool isServed(core::SlotIndex slot) const;
 
     // Longest time for which a slot wasn't served, and how many slots ever weren't, since
     // `startMeasuring`.
@@ -133,8 +139,11 @@
     ModelServer *findServer(const core::ServerName &name);
     core::Duration clockOf(const ModelServer &server) const;
     bool holds(const ModelServer &server, core::SlotIndex slot) const;
-    void check();
-    void measure();
+    std::vector<SlotView> observe() const;
+    void observe(const ModelServer &server, const ModelInstance &instance,
+                 std::vector<SlotView> &views) const;
+    void check(const std::vector<SlotView> &views);
+    void measure(const std::vector<SlotView> &views);
     void breach(std::string text);
 
     ModelSettings settings;
