--- a/libs/decisions/include/amaranthdale/decisions/ownership_engine.h
+++ b/libs/decisions/include/amaranthdale/decisions/ownership_engine.h
@@ -83,6 +83,10 @@
     std::optional<core::Fence> mayServeHotKey(const core::ServerName &server,
                                               const std::string &key, core::TimePoint now) const;
 
+    /// All slots for which `mayServeSlot` gives a token now.
+    std::vector<core::SlotIndex> grantedSlots(const core::ServerName &server,
+                                              core::TimePoint now) const;
+
 private:
     struct State;
     std::unique_ptr<State> state;
--- a/libs/decisions/src/ownership_engine.cpp
+++ b/libs/decisions/src/ownership_engine.cpp
@@ -10,6 +10,9 @@
 // Bounds what a decision that waits for time alone can be late by.
 constexpr core::Duration tickInterval = std::chrono::milliseconds(20);
 
+// Facts arrive more often than the need for a proposal changes, and the search takes time.
+constexpr core::Duration proposalInterval = std::chrono::milliseconds(10);
+
 } // namespace
 
 OwnershipEngine::State::State(OwnershipSettings given, std::unique_ptr<AuthorityPolicy> rule,
@@ -40,7 +43,11 @@
     this->pollMoves(now);
     this->pollGrants(now);
     this->sendHeartbeats(now);
-    this->pollProposals(now);
+    if (now >= this->nextProposals) {
+        this->nextProposals = now + proposalInterval;
+        this->pollProposals(now);
+    }
+    this->proposals.poll(now, this->actions);
     // A change that was just proposed limits the authority before its append is sent.
     this->refreshAuthority();
 }
@@ -253,4 +260,17 @@
     return open ? fence : std::nullopt;
 }
 
+std::vector<core::SlotIndex> OwnershipEngine::grantedSlots(const core::ServerName &server,
+                                                           core::TimePoint now) const
+{
+    std::vector<core::SlotIndex> result;
+    if (!this->mayServe(server, now))
+        return result;
+    for (core::SlotIndex slot : this->state->controls.at(server).grantedSlots()) {
+        if (this->state->isOpen(server, slot))
+            result.push_back(slot);
+    }
+    return result;
+}
+
 } // namespace amaranthdale::decisions
--- a/libs/decisions/src/ownership_moves.cpp
+++ b/libs/decisions/src/ownership_moves.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t rebalanceBatch = 16;
 constexpr core::Duration rebalanceInterval = std::chrono::milliseconds(250);
 
+// The search for moves goes through all slots of a service; nothing is lost by a short delay.
+constexpr core::Duration searchInterval = std::chrono::milliseconds(100);
+
 // A server that is drained hands over at least this many slots at once, or a quarter of them, so
 // that it is empty within seconds while most of its slots are served all the time.
 constexpr std::size_t drainBatch = 16;
@@ -106,8 +109,10 @@
 void OwnershipEngine::State::beginMove(const core::ServerName &name, core::TimePoint now)
 {
     std::vector<SlotMove> chosen = this->chooseMoves(name, now);
-    if (chosen.empty())
+    if (chosen.empty()) {
+        this->nextMove[name] = now + searchInterval;
         return;
+    }
     const ServerState *server = this->cluster->findServer(name);
     PlannedMove move;
     move.record.service = server->service;
--- a/libs/decisions/src/ownership_proposals.cpp
+++ b/libs/decisions/src/ownership_proposals.cpp
@@ -39,7 +39,6 @@
         this->assignSlots(now);
         this->requestSnapshot(now);
     }
-    this->proposals.poll(now, this->actions);
 }
 
 // True once the turn of this instance to propose a change of the entity has come. The caller asks
--- a/libs/decisions/src/ownership_state.h
+++ b/libs/decisions/src/ownership_state.h
@@ -104,6 +104,7 @@
 
     core::TimePoint lastSeen; // Time of the last fact; a gap shows that the process was stalled.
     core::TimePoint nextHeartbeat;
+    core::TimePoint nextProposals;
     std::optional<core::TimePoint> logReadBegan;
     std::optional<core::TimePoint> logReadAt;
 
--- a/libs/decisions/src/server_control.cpp
+++ b/libs/decisions/src/server_control.cpp
@@ -104,7 +104,10 @@
 
 void ServerControl::poll(const GrantRound &round, std::vector<OwnershipAction> &actions)
 {
-    if (round.now >= this->heldUntil)
+    // An offered grant stays offered while its response could still make it held.
+    const bool mayBeAccepted =
+            this->lastGrantSent && round.now < *this->lastGrantSent + this->timings.lease;
+    if (round.now >= this->heldUntil && !mayBeAccepted)
         this->machine.expire();
     if (this->superseded || round.now < this->times.sendFrom)
         return;
--- a/libs/decisions/src/server_control.h
+++ b/libs/decisions/src/server_control.h
@@ -61,6 +61,7 @@
     void supersede() { this->superseded = true; }
 
     std::optional<core::Fence> fence(core::TimePoint now) const;
+    const std::set<core::SlotIndex> &grantedSlots() const { return this->granted.slots; }
     bool isGranted(core::SlotIndex slot) const { return this->granted.slots.contains(slot); }
     bool isGranted(const std::string &key) const { return this->granted.hotKeys.contains(key); }
 
