--- a/benchmarks/ownership_matrix.cpp
+++ b/benchmarks/ownership_matrix.cpp
@@ -48,18 +48,18 @@
 void printRow(const FaultCase &fault, const Variant &variant)
 {
     const FaultResult result = runCase(fault, 1, variant.policy);
-    std::printf("%-42s %-18s %12lld %10zu %9zu\n", fault.name.c_str(), variant.name,
+    std::printf("%-42s %-18s %12lld %10zu %12.1f %9zu\n", fault.name.c_str(), variant.name,
                 static_cast<long long>(result.longestGap.count()), result.slotsInterrupted,
-                result.breaches.size());
+                static_cast<double>(result.unservedTime.count()) / 1000, result.breaches.size());
 }
 
 } // namespace
 
 int main()
 {
-    std::printf("%-42s %-18s %12s %10s %9s\n", "fault (6 instances, 6 servers, 12 slots)", "policy",
-                "longest gap", "slots hit", "breaches");
-    std::printf("%-42s %-18s %12s\n", "", "", "(ms)");
+    std::printf("%-42s %-18s %12s %10s %12s %9s\n", "fault (6 instances, 6 servers, 12 slots)",
+                "policy", "longest gap", "slots hit", "unserved", "breaches");
+    std::printf("%-42s %-18s %12s %10s %12s\n", "", "", "(ms)", "", "(slot s)");
     for (const FaultCase &fault : comparedCases()) {
         for (const Variant &variant : variants())
             printRow(fault, variant);
--- a/libs/decisions/src/placement_slots.cpp
+++ b/libs/decisions/src/placement_slots.cpp
@@ -4,6 +4,7 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 
 namespace amaranthdale::decisions {
@@ -47,24 +48,37 @@
     return shares;
 }
 
-// Server with room that ranks highest for the slot; the emptiest when none has room.
-core::ServerName receiverOf(const Shares &shares, const ServiceState &service, core::SlotIndex slot)
+// Server that ranks highest for the slot among those that fulfil the condition.
+template<class Condition>
+core::ServerName highestRanked(const Shares &shares, const std::string &entity, Condition condition)
 {
-    const std::string entity = service.document.service.value + "/" + std::to_string(slot);
     core::ServerName best;
     std::uint64_t bestWeight = 0;
     for (const auto &[name, share] : shares) {
         const std::uint64_t weight = rendezvousWeight(entity, name.value);
-        if (share.isBelowCeiling() && (best.empty() || weight > bestWeight)) {
+        if (condition(share) && (best.empty() || weight > bestWeight)) {
             best = name;
             bestWeight = weight;
         }
     }
-    if (!best.empty() || shares.empty())
+    return best;
+}
+
+// All servers are filled to the whole part of their share before any gets a further slot; the
+// emptiest receives what is beyond all shares.
+core::ServerName receiverOf(const Shares &shares, const ServiceState &service, core::SlotIndex slot)
+{
+    if (shares.empty())
+        return {};
+    const std::string entity = service.document.service.value + "/" + std::to_string(slot);
+    core::ServerName best = highestRanked(shares, entity, std::mem_fn(&Share::isBelowFloor));
+    if (best.empty())
+        best = highestRanked(shares, entity, std::mem_fn(&Share::isBelowCeiling));
+    if (!best.empty())
         return best;
     return std::min_element(
                    shares.begin(), shares.end(),
-                   [](const auto &a, const auto &b) { return a.second.fill() < b.second.fill(); })
+                   [](const auto &x, const auto &y) { return x.second.fill() < y.second.fill(); })
             ->first;
 }
 
--- a/libs/decisions/tests/cluster_state_test.cpp
+++ b/libs/decisions/tests/cluster_state_test.cpp
@@ -134,3 +134,34 @@
     changed.hashSlots = 8;
     CHECK_FALSE(state.apply(LogOffset(4), recordOf(first, 3, DocumentRecord{changed})).accepted);
 }
+
+TEST_CASE("crash bans and the wait for an abandoned controller survive a snapshot")
+{
+    ClusterState state = assignedState();
+    const CrashRecord ban{42, std::chrono::minutes(10)};
+    REQUIRE(state.apply(LogOffset(4), recordOf(first, 3, ban)).accepted);
+    const ControllerRecord abandoned{serverA, third, {second}, true};
+    REQUIRE(state.apply(LogOffset(5), recordOf(third, 4, abandoned)).accepted);
+    // A later controller still has to know that somebody was replaced without promises.
+    REQUIRE(state.apply(LogOffset(6), recordOf(second, 5, ControllerRecord{serverA, second, {}}))
+                    .accepted);
+    CHECK(state.findServer(serverA)->controller->abandonedAt == LogOffset(5));
+
+    ClusterState restored;
+    restored.restore(state.offset(), state.services(), state.servers(), state.dataCentres(),
+                     state.crashBans());
+    CHECK(restored.crashBans().at(42).since == LogOffset(4));
+    CHECK(restored.servers() == state.servers());
+    CHECK(restored.snapshotOffset() == LogOffset(6));
+}
+
+TEST_CASE("a snapshot counts when its last piece is on the log")
+{
+    ClusterState state = assignedState();
+    REQUIRE(state.apply(LogOffset(4), recordOf(first, 3, SnapshotRecord{LogOffset(3), 0, 2, "x"}))
+                    .accepted);
+    CHECK(state.snapshotOffset() == LogOffset());
+    REQUIRE(state.apply(LogOffset(5), recordOf(first, 3, SnapshotRecord{LogOffset(3), 1, 2, "y"}))
+                    .accepted);
+    CHECK(state.snapshotOffset() == LogOffset(3));
+}
--- a/libs/decisions/tests/ownership_check.cpp
+++ b/libs/decisions/tests/ownership_check.cpp
@@ -158,6 +158,7 @@
 void Model::startMeasuring()
 {
     this->longest = core::Duration::zero();
+    this->unserved = core::Duration::zero();
     this->interrupted.clear();
     this->unservedSince.clear();
 }
@@ -171,6 +172,7 @@
         }
         const auto since = this->unservedSince.try_emplace(slot, this->now()).first->second;
         this->interrupted.insert(slot);
+        this->unserved += latency; // A step takes as long.
         this->longest = std::max(this->longest, core::Duration(this->now() - since) + latency);
     }
 }
--- a/libs/decisions/tests/ownership_faults.cpp
+++ b/libs/decisions/tests/ownership_faults.cpp
@@ -320,6 +320,7 @@
     }
     model.run(std::max(milliseconds(0), fault.duration - passed));
     result.longestGap = std::chrono::duration_cast<milliseconds>(model.longestGap());
+    result.unservedTime = std::chrono::duration_cast<milliseconds>(model.unservedTime());
     result.slotsInterrupted = model.slotsInterrupted();
     result.servedAtEnd = model.settle(std::chrono::milliseconds(1));
     // Only instances that reach the log can have replayed all of it.
--- a/libs/decisions/tests/ownership_faults.h
+++ b/libs/decisions/tests/ownership_faults.h
@@ -47,6 +47,7 @@
     bool settled = false;
     milliseconds longestGap{0};
     std::size_t slotsInterrupted = 0;
+    milliseconds unservedTime{0}; ///< Summed over all slots.
     bool statesAgree = false;
     bool servedAtEnd = false;
     std::vector<std::string> breaches;
--- a/libs/decisions/tests/ownership_model.h
+++ b/libs/decisions/tests/ownership_model.h
@@ -105,6 +105,7 @@
     // `startMeasuring`.
     void startMeasuring();
     core::Duration longestGap() const { return this->longest; }
+    core::Duration unservedTime() const { return this->unserved; } // Summed over all slots.
     std::size_t slotsInterrupted() const { return this->interrupted.size(); }
 
     const std::vector<std::string> &breaches() const { return this->breachList; }
@@ -160,6 +161,7 @@
     std::map<core::SlotIndex, core::TimePoint> unservedSince;
     std::set<core::SlotIndex> interrupted;
     core::Duration longest{};
+    core::Duration unserved{};
 };
 
 } // namespace amaranthdale::decisions::model
