--- a/libs/decisions/tests/ownership_engine_test.cpp
+++ b/libs/decisions/tests/ownership_engine_test.cpp
@@ -262,3 +262,16 @@
     CHECK(rig.serves());
     CHECK_FALSE(rig.replay(*move).accepted);
 }
+
+TEST_CASE("the wait after an abandoned change outlasts every authority by promises")
+{
+    const OwnershipTimings timings;
+    const NamedSuccessorAuthority policy(timings);
+    const core::TimePoint read{std::chrono::hours(1)};
+    AuthorityFacts isolated;
+    isolated.logReadBegan = read;
+    isolated.promisedUntil = {core::TimePoint::max(), core::TimePoint::max()};
+    const core::TimePoint end = policy.authorityUntil(isolated).value();
+    const TakeoverFacts abandoned{true, true, std::chrono::seconds(2)};
+    CHECK(read + policy.waitBeforeRelease(abandoned) >= end + timings.lease + timings.drift);
+}
