Add the answers of the operators' port for instances and keys

The command line waits until every live instance reports an offset and explains who owns a key; instances and the command line need one form of both answers. The explanation is derived from the replayed state alone, so any instance gives the same one. The state doesn't keep the kind of release of an assignment, so the explanation names the record's offset instead.

--- /dev/null
+++ b/libs/report/src/operator_views.cpp
@@ -0,0 +1,137 @@
+// JSON form of the answers of the operators' port.
+#include "amaranthdale/report/operator_views.h"
+
+#include "amaranthdale/records/object_reader.h"
+
+#include <boost/json.hpp>
+
+namespace amaranthdale::report {
+
+namespace json = boost::json;
+using records::Faults;
+using records::ObjectReader;
+using records::Presence;
+
+namespace {
+
+constexpr std::size_t longestReason = 1000; // Bytes of one sentence.
+constexpr std::size_t longestName = 100;
+
+json::string jsonText(const std::string &text)
+{
+    return json::string(text);
+}
+
+// Names may be empty where nothing owns or controls.
+template<class Name>
+void optionalName(ObjectReader &reader, std::string_view field, Name &name)
+{
+    reader.text(field, name.value, longestName);
+}
+
+template<class Read>
+void readStrings(ObjectReader &reader, std::string_view field, Read &&read)
+{
+    const json::array *list = reader.array(field, Presence::Required);
+    for (std::size_t index = 0; list && index < list->size(); ++index) {
+        const json::value &value = (*list)[index];
+        if (value.is_string() && value.as_string().size() <= longestReason)
+            read(std::string(value.as_string()));
+        else
+            reader.fault(field,
+                         "has an entry that is no short text; ask an instance of the same "
+                         "version");
+    }
+}
+
+void readExplanation(ObjectReader &reader, Explanation &explanation)
+{
+    reader.number("offset", explanation.offset);
+    reader.name("service", explanation.service);
+    reader.integer("slot", explanation.slot, core::SlotIndex(0),
+                   std::numeric_limits<core::SlotIndex>::max());
+    reader.flag("hotKey", explanation.hotKey);
+    optionalName(reader, "server", explanation.server);
+    reader.number("since", explanation.since);
+    optionalName(reader, "dataCentre", explanation.dataCentre);
+    optionalName(reader, "controller", explanation.controller);
+    reader.number("epoch", explanation.epoch);
+    readStrings(reader, "successors",
+                [&](std::string text) { explanation.successors.emplace_back(std::move(text)); });
+    readStrings(reader, "reasons",
+                [&](std::string text) { explanation.reasons.push_back(std::move(text)); });
+}
+
+template<class Value, class Read>
+records::Checked<Value> decode(std::string_view text, Read &&read)
+{
+    Faults faults;
+    Value value;
+    if (const auto parsed = records::parseJson(text, faults)) {
+        ObjectReader reader(*parsed, "", faults);
+        read(reader, value);
+        reader.finish();
+    }
+    if (!faults.empty())
+        return faults;
+    return value;
+}
+
+} // namespace
+
+std::string encodeInstances(const std::vector<InstanceView> &instances)
+{
+    json::array list;
+    for (const InstanceView &instance : instances) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(instance.age);
+        list.push_back(json::object{{"name", jsonText(instance.name.value)},
+                                    {"offset", instance.offset.value},
+                                    {"ageMs", age.count()}});
+    }
+    return json::serialize(json::object{{"instances", std::move(list)}});
+}
+
+records::Checked<std::vector<InstanceView>> decodeInstances(std::string_view text)
+{
+    using Instances = std::vector<InstanceView>;
+    return decode<Instances>(text, [](ObjectReader &reader, Instances &instances) {
+        reader.objects("instances", Presence::Required, [&](ObjectReader &each) {
+            InstanceView &instance = instances.emplace_back();
+            std::uint64_t ageMs = 0;
+            const std::uint64_t mostAgeMs =
+                    std::chrono::milliseconds(std::chrono::hours(24)).count();
+            each.name("name", instance.name);
+            each.number("offset", instance.offset);
+            each.integer("ageMs", ageMs, std::uint64_t(0), mostAgeMs);
+            instance.age = std::chrono::milliseconds(ageMs);
+        });
+    });
+}
+
+std::string encodeExplanation(const Explanation &explanation)
+{
+    json::array successors;
+    for (const core::InstanceName &successor : explanation.successors)
+        successors.push_back(jsonText(successor.value));
+    json::array reasons;
+    for (const std::string &reason : explanation.reasons)
+        reasons.push_back(jsonText(reason));
+    return json::serialize(json::object{{"offset", explanation.offset.value},
+                                        {"service", jsonText(explanation.service.value)},
+                                        {"slot", explanation.slot},
+                                        {"hotKey", explanation.hotKey},
+                                        {"server", jsonText(explanation.server.value)},
+                                        {"since", explanation.since.value},
+                                        {"dataCentre", jsonText(explanation.dataCentre.value)},
+                                        {"controller", jsonText(explanation.controller.value)},
+                                        {"epoch", explanation.epoch.value},
+                                        {"successors", std::move(successors)},
+                                        {"reasons", std::move(reasons)}});
+}
+
+records::Checked<Explanation> decodeExplanation(std::string_view text)
+{
+    return decode<Explanation>(text, readExplanation);
+}
+
+} // namespace amaranthdale::report
