Add the operator commands and amaranthdalectl

Operators change the system by documents only, so they need a check that lists every fault, a plan, and an append that says whether it is in force. A change is followed on the log itself: the command replays from the state it read up to its own record, so a lost response or a race has a certain outcome, and the loser learns who won. Waiting for instances has a limit and names who lags.

Ruled out: trusting the append's response, because the log has no conditional append and another record can come between.

--- /dev/null
+++ b/tools/amaranthdalectl/main.cpp
@@ -0,0 +1,45 @@
+// Operator commands: wires libs/cli to the network, the clock and the file system.
+#include "amaranthdale/cli/command.h"
+#include "amaranthdale/http/backend_client.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <thread>
+
+using namespace amaranthdale;
+
+namespace {
+
+cli::Proposer proposer()
+{
+    const char *user = std::getenv("USER");
+    std::random_device random;
+    const std::uint64_t run = (std::uint64_t(random()) << 32U) | random();
+    return cli::Proposer{user ? user : "unknown", core::Incarnation(run)};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    boost::asio::io_context context;
+    auto work = boost::asio::make_work_guard(context);
+    std::thread worker([&context] { context.run(); });
+
+    const auto sender = http::makeBackendClient(context);
+    const auto clock = clock::makeAsioClock(context);
+    const auto pacer = cli::makePacer(*clock);
+    const auto files = cli::makeFileReader();
+    const cli::ExitCode code = cli::runCommand(
+            std::vector<std::string>(argv, argv + argc),
+            cli::Environment{*sender, *pacer, *files, proposer()}, std::cout, std::cerr);
+
+    // Kept connections need no graceful end: no request is in progress any more.
+    context.stop();
+    worker.join();
+    return static_cast<int>(code);
+}
