--- a/libs/cli/tests/command_test.cpp
+++ b/libs/cli/tests/command_test.cpp
@@ -109,7 +109,8 @@
 {
     const core::InstanceId first{core::InstanceName("i1"), core::Incarnation(5)};
     cluster.append(documentRecord("operator:ana", 0, file));
-    cluster.append(recordBy("i1", 1, decisions::ControllerRecord{core::ServerName("s1"), first}));
+    cluster.append(
+            recordBy("i1", 1, decisions::ControllerRecord{core::ServerName("s1"), first, {}}));
     cluster.append(recordBy("i1", 2,
                             decisions::SlotRecord{core::ServiceName("stockroom"),
                                                   {},
--- a/libs/cli/tests/fake_cluster.cpp
+++ b/libs/cli/tests/fake_cluster.cpp
@@ -4,6 +4,7 @@
 #include "amaranthdale/records/record_codec.h"
 #include "amaranthdale/records/state_codec.h"
 #include "amaranthdale/report/operator_views.h"
+#include "amaranthdale/report/report.h"
 
 namespace amaranthdale::cli {
 
@@ -71,8 +72,11 @@
     this->targets.push_back(target);
     if (target == "/state")
         return core::makeResponse(200, records::encodeState(this->state()));
-    if (target == "/report")
-        return core::makeResponse(200, report::encodeReport({{{core::InstanceName("i1")}}}));
+    if (target == "/report") {
+        report::ReportPart part;
+        part.instance = core::InstanceName("i1");
+        return core::makeResponse(200, report::encodeReport(report::Report{{part}}));
+    }
     if (target == "/instances") {
         std::vector<report::InstanceView> views;
         for (const auto &[name, offset] : this->instances) {
