Answer /explain and /instances in the forms that the command line reads

The daemon now uses explainKey, encodeExplanation and encodeInstances of libs/report. An instance that nobody heard of is waited for, a leaving one is not. The command line asks /report for JSON. Services without keys are explained by request id.

--- a/libs/cli/src/change.cpp
+++ b/libs/cli/src/change.cpp
@@ -126,17 +126,28 @@
     return describeRefusal(change, applied.reason, context);
 }
 
+// A leaving instance takes no new requests, so nothing waits for it.
 std::vector<std::string> instancesBehind(const std::vector<report::InstanceView> &instances,
                                          LogOffset offset)
 {
     std::vector<std::string> behind;
     for (const report::InstanceView &instance : instances) {
-        if (instance.offset < offset)
-            behind.push_back(instance.name.value + " at " + std::to_string(instance.offset.value));
+        if (instance.leaving || (instance.heard && instance.heard->offset >= offset))
+            continue;
+        behind.push_back(instance.name.value
+                         + (instance.heard ? " at " + std::to_string(instance.heard->offset.value)
+                                           : std::string(" not heard of")));
     }
     return behind;
 }
 
+std::size_t liveCount(const std::vector<report::InstanceView> &instances)
+{
+    return static_cast<std::size_t>(
+            std::count_if(instances.begin(), instances.end(),
+                          [](const report::InstanceView &instance) { return !instance.leaving; }));
+}
+
 std::string joined(const std::vector<std::string> &texts)
 {
     std::string result;
@@ -155,8 +166,8 @@
         if (instances) {
             const std::vector<std::string> behind = instancesBehind(*instances, offset);
             // An empty list says nothing about who is live.
-            if (behind.empty() && !instances->empty())
-                return instances->size();
+            if (behind.empty() && liveCount(*instances) > 0)
+                return liveCount(*instances);
             missing = behind.empty() ? "no instance listed" : joined(behind);
         } else {
             missing = instances.error().message;
--- a/libs/cli/src/cluster_client.cpp
+++ b/libs/cli/src/cluster_client.cpp
@@ -69,7 +69,7 @@
 
     core::Outcome<report::Report> fetchReport() override
     {
-        const core::Outcome<std::string> body = this->fetch("/report");
+        const core::Outcome<std::string> body = this->fetch("/report?format=json");
         if (!body)
             return body.error();
         auto decoded = core::attempt([&body] { return report::decodeReport(*body); });
--- a/libs/cli/tests/command_test.cpp
+++ b/libs/cli/tests/command_test.cpp
@@ -160,6 +160,18 @@
     CHECK(showed("it stays accepted"));
 }
 
+TEST_CASE_FIXTURE(CommandFixture,
+                  "a live instance that nobody heard of is waited for, a leaving one not")
+{
+    cluster.otherInstances.push_back({core::InstanceName("i3"), {}, true, {}});
+    CHECK(run({"apply", "f"}) == ExitCode::Done);
+    CHECK(showed("on 2 instances"));
+    cluster.otherInstances[0].leaving = false;
+    file = documentWith({"s3"});
+    CHECK(run({"apply", "f"}) == ExitCode::Failed);
+    CHECK(showed("i3 not heard of"));
+}
+
 TEST_CASE_FIXTURE(CommandFixture, "an empty list of instances doesn't pass for all of them")
 {
     cluster.instances.clear();
--- a/libs/cli/tests/fake_cluster.h
+++ b/libs/cli/tests/fake_cluster.h
@@ -4,6 +4,7 @@
 #include "amaranthdale/cli/pacer.h"
 #include "amaranthdale/core/message.h"
 #include "amaranthdale/decisions/cluster_state.h"
+#include "amaranthdale/report/operator_views.h"
 
 #include <boost/json.hpp>
 
@@ -50,6 +51,7 @@
 
     std::vector<std::string> records; ///< The record at offset N is at index N-1.
     std::map<std::string, std::uint64_t> instances = {{"i1", 0}, {"i2", 0}};
+    std::vector<report::InstanceView> otherInstances; ///< Listed as they are.
     bool instancesFollow = true;         ///< Else they stay at the offsets in `instances`.
     std::function<void()> beforeAppend;  ///< Runs once, to let another proposer go first.
     bool loseAppendResponse = false;     ///< The append takes effect all the same.
--- a/libs/daemon/src/operator_service.cpp
+++ b/libs/daemon/src/operator_service.cpp
@@ -1,8 +1,8 @@
 // Answers for operators, each from the tables as they are now.
 #include "operator_service.h"
 
-#include "amaranthdale/core/hash.h"
 #include "amaranthdale/records/state_codec.h"
+#include "amaranthdale/report/operator_views.h"
 #include "report_collector.h"
 #include "server_runner.h"
 
@@ -130,71 +130,34 @@
 HttpResponse OperatorService::explain(std::string_view target) const
 {
     const StatePointer state = this->context.shared.state();
-    const core::ServiceName name(parameter(target, "service"));
+    const core::ServiceName service(parameter(target, "service"));
     const std::string key = parameter(target, "key");
-    const decisions::ServiceState *service = state->findService(name);
-    if (!service)
-        return errorResponse(404, "service '" + name.value + "' has no document");
-    const decisions::SlotOwner &owner = service->ownerOf(key);
-    const core::SlotIndex slot =
-            core::slotOf(key, service->document.hashSeed, service->document.hashSlots);
-    json::object body = {
-            {"service", name.value},
-            {"key", key},
-            {"slot", slot},
-            {"hotKey", service->hotKeys.contains(key)},
-            {"server", owner.server.value},
-            {"sinceOffset", owner.changedAt.value},
-            {"documentOffset", service->version.value},
-            {"stateOffset", state->offset().value},
-    };
-    const decisions::ServerState *server = state->findServer(owner.server);
-    if (server) {
-        body["dataCentre"] = server->spec.dataCentre.value;
-        body["leaving"] = server->spec.leaving || server->removed;
-        body["dataCentreDrained"] = state->isDrained(server->spec.dataCentre);
-    }
-    if (server && server->controller) {
-        body["controller"] = server->controller->instance.name.value;
-        body["epoch"] = server->controller->epoch.value;
-        json::array successors;
-        for (const core::InstanceId &successor : server->controller->successors)
-            successors.push_back(json::value(successor.name.value));
-        body["successors"] = successors;
-    }
-    if (owner.server.empty())
-        body["why"] = "no record has assigned the slot yet";
-    else if (service->hotKeys.contains(key))
-        body["why"] = "the record at sinceOffset moved this hot key by itself";
-    else
-        body["why"] = "the record at sinceOffset assigned the key's slot";
-    return jsonResponse(200, body);
+    const auto explanation =
+            core::attempt([&] { return report::explainKey(*state, service, key); });
+    if (!explanation)
+        return errorResponse(404, explanation.error().message);
+    return core::makeResponse(200, report::encodeExplanation(*explanation) + "\n");
 }
 
 HttpResponse OperatorService::instances() const
 {
     const core::TimePoint now = this->context.clock.now();
     const core::LogOffset ownOffset = this->context.shared.state()->offset();
-    json::array rows;
+    std::vector<report::InstanceView> views;
     this->context.shared.membership.with([&](const MembershipTable &table) {
         for (const auto &[name, instance] : table.listed) {
-            json::object row = {{"name", name.value},
-                                {"dataCentre", instance.dataCentre.value},
-                                {"leaving", instance.leaving}};
+            report::InstanceView &view = views.emplace_back();
+            view.name = name;
+            view.dataCentre = instance.dataCentre;
+            view.leaving = instance.leaving;
             const auto heard = table.heard.find(name);
-            if (name == this->context.self) {
-                row["offset"] = ownOffset.value;
-                row["ageMs"] = 0;
-            } else if (heard != table.heard.end() && heard->second.id == instance.id) {
-                const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        now - heard->second.heardAt);
-                row["offset"] = heard->second.offset.value;
-                row["ageMs"] = age.count();
-            }
-            rows.push_back(std::move(row));
+            if (name == this->context.self)
+                view.heard = report::HeardOffset{ownOffset, {}};
+            else if (heard != table.heard.end() && heard->second.id == instance.id)
+                view.heard = report::HeardOffset{heard->second.offset, now - heard->second.heardAt};
         }
     });
-    return jsonResponse(200, {{"instances", rows}});
+    return core::makeResponse(200, report::encodeInstances(views) + "\n");
 }
 
 report::ReportPart OperatorService::ownPart() const
--- a/libs/report/include/amaranthdale/report/operator_views.h
+++ b/libs/report/include/amaranthdale/report/operator_views.h
@@ -12,17 +12,28 @@
 
 namespace amaranthdale::report {
 
-/// A live instance as another one knows it by heartbeats.
+/// What a heartbeat said about an instance.
+struct HeardOffset
+{
+    core::LogOffset offset; ///< Newest that it had replayed.
+    core::Duration age{};   ///< Time since it said so; in JSON rounded down to milliseconds.
+
+    bool operator==(const HeardOffset &) const = default;
+};
+
+/// An instance of the platform's list as another one knows it.
 struct InstanceView
 {
     core::InstanceName name;
-    core::LogOffset offset; ///< Newest that it said it had replayed.
-    core::Duration age{};   ///< Time since it said so; in JSON rounded down to milliseconds.
+    core::DataCentreName dataCentre;
+    bool leaving = false;
+    std::optional<HeardOffset> heard; ///< Nothing when its present incarnation sent no heartbeat.
 
     bool operator==(const InstanceView &) const = default;
 };
 
-/// Body of `GET /instances`: {"instances":[{"name","offset","ageMs"}]}.
+/// Body of `GET /instances`: {"instances":[{"name","dataCentre","leaving","offset","ageMs"}]}; the
+/// last two are absent when nothing was heard.
 std::string encodeInstances(const std::vector<InstanceView> &instances);
 records::Checked<std::vector<InstanceView>> decodeInstances(std::string_view text);
 
@@ -44,8 +55,8 @@
     bool operator==(const Explanation &) const = default;
 };
 
-/// Explains the owner of `key`. Fails with NotFound when no document of `service` is in force, and
-/// with InvalidArgument when the service has no keys.
+/// Explains the owner of `key`; of a service without keys, `key` is the id of a non-idempotent
+/// request. Fails with NotFound when no document of `service` is in force.
 core::Result<Explanation> explainKey(const decisions::ClusterState &state,
                                      const core::ServiceName &service, std::string_view key);
 
--- a/libs/report/src/operator_views.cpp
+++ b/libs/report/src/operator_views.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include <limits>
+
 namespace amaranthdale::report {
 
 namespace json = boost::json;
@@ -62,6 +64,22 @@
                 [&](std::string text) { explanation.reasons.push_back(std::move(text)); });
 }
 
+void readInstance(ObjectReader &reader, InstanceView &instance)
+{
+    constexpr auto mostAgeMs = static_cast<std::uint64_t>(std::numeric_limits<std::int32_t>::max());
+    reader.name("name", instance.name);
+    optionalName(reader, "dataCentre", instance.dataCentre);
+    reader.flag("leaving", instance.leaving);
+    if (!reader.has("offset"))
+        return;
+    HeardOffset heard;
+    std::uint64_t ageMs = 0;
+    reader.number("offset", heard.offset);
+    reader.integer("ageMs", ageMs, std::uint64_t(0), mostAgeMs);
+    heard.age = std::chrono::milliseconds(ageMs);
+    instance.heard = heard;
+}
+
 template<class Value, class Read>
 records::Checked<Value> decode(std::string_view text, Read &&read)
 {
@@ -83,10 +101,16 @@
 {
     json::array list;
     for (const InstanceView &instance : instances) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(instance.age);
-        list.push_back(json::object{{"name", jsonText(instance.name.value)},
-                                    {"offset", instance.offset.value},
-                                    {"ageMs", age.count()}});
+        json::object row = {{"name", jsonText(instance.name.value)},
+                            {"dataCentre", jsonText(instance.dataCentre.value)},
+                            {"leaving", instance.leaving}};
+        if (instance.heard) {
+            row["offset"] = instance.heard->offset.value;
+            row["ageMs"] =
+                    std::chrono::duration_cast<std::chrono::milliseconds>(instance.heard->age)
+                            .count();
+        }
+        list.push_back(std::move(row));
     }
     return json::serialize(json::object{{"instances", std::move(list)}});
 }
@@ -95,16 +119,8 @@
 {
     using Instances = std::vector<InstanceView>;
     return decode<Instances>(text, [](ObjectReader &reader, Instances &instances) {
-        reader.objects("instances", Presence::Required, [&](ObjectReader &each) {
-            InstanceView &instance = instances.emplace_back();
-            std::uint64_t ageMs = 0;
-            const std::uint64_t mostAgeMs =
-                    std::chrono::milliseconds(std::chrono::hours(24)).count();
-            each.name("name", instance.name);
-            each.number("offset", instance.offset);
-            each.integer("ageMs", ageMs, std::uint64_t(0), mostAgeMs);
-            instance.age = std::chrono::milliseconds(ageMs);
-        });
+        reader.objects("instances", Presence::Required,
+                       [&](ObjectReader &each) { readInstance(each, instances.emplace_back()); });
     });
 }
 
