Keep timers of a destroyed clock from running

Cause: handlers of AsioClock called the clock itself, which may be gone when a queued handler runs; found by reading, reproduced by asio_clock_test. Change: handlers share a table of waiting timers, which the clock empties when it is destroyed. Before: the test reads freed memory.

--- a/libs/clock/include/amaranthdale/clock/clock.h
+++ b/libs/clock/include/amaranthdale/clock/clock.h
@@ -31,7 +31,7 @@
     /// Runs `callback` once, not before `time`. The callback holds no lock of the clock.
     virtual TimerId schedule(core::TimePoint time, std::function<void()> callback) = 0;
 
-    /// Cancels a timer. A callback that has begun, or is queued to run, may still run.
+    /// Cancels a timer. A callback that has begun on another thread still runs to its end.
     virtual void cancel(TimerId timer) = 0;
 };
 
--- a/libs/clock/src/asio_clock.cpp
+++ b/libs/clock/src/asio_clock.cpp
@@ -11,11 +11,61 @@
 
 namespace {
 
+// Timers that wait. Handlers hold it, since one may be queued when the clock is destroyed.
+class TimerTable
+{
+public:
+    using Timer = std::shared_ptr<boost::asio::steady_timer>;
+
+    // Starts the wait under the lock: a timer object is not safe to cancel meanwhile.
+    template<class Function>
+    TimerId start(const Timer &timer, Function &&makeHandler)
+    {
+        std::lock_guard lock(this->mutex);
+        const TimerId id = ++this->lastTimer;
+        this->timers.emplace(id, timer);
+        timer->async_wait(makeHandler(id));
+        return id;
+    }
+
+    /// Removes a timer. False when it was cancelled or the clock has been destroyed.
+    bool claim(TimerId id)
+    {
+        std::lock_guard lock(this->mutex);
+        return this->timers.erase(id) > 0;
+    }
+
+    void cancel(TimerId id)
+    {
+        std::lock_guard lock(this->mutex);
+        const auto found = this->timers.find(id);
+        if (found == this->timers.end())
+            return;
+        found->second->cancel();
+        this->timers.erase(found);
+    }
+
+    void cancelAll()
+    {
+        std::lock_guard lock(this->mutex);
+        for (const auto &[id, timer] : this->timers)
+            timer->cancel();
+        this->timers.clear();
+    }
+
+private:
+    std::mutex mutex;
+    TimerId lastTimer = 0;
+    std::unordered_map<TimerId, Timer> timers;
+};
+
 class AsioClock : public Clock
 {
 public:
     explicit AsioClock(boost::asio::io_context &ioContext) : context(ioContext) { }
 
+    ~AsioClock() override { this->table->cancelAll(); }
+
     core::TimePoint now() const override { return std::chrono::steady_clock::now(); }
 
     std::chrono::system_clock::time_point wallNow() const override
@@ -26,38 +76,20 @@
     TimerId schedule(core::TimePoint time, std::function<void()> callback) override
     {
         auto timer = std::make_shared<boost::asio::steady_timer>(this->context, time);
-        std::lock_guard lock(this->mutex);
-        const TimerId id = ++this->lastTimer;
-        this->timers.emplace(id, timer);
-        timer->async_wait([this, id, timer,
-                           callback = std::move(callback)](const boost::system::error_code &error) {
-            this->forget(id);
-            if (!error)
+        const TimerId id = this->table->add(timer);
+        timer->async_wait([timers = this->table, id, timer,
+                           callback = std::move(callback)](const boost::system::error_code &) {
+            if (timers->claim(id))
                 callback();
         });
         return id;
     }
 
-    void cancel(TimerId id) override
-    {
-        std::lock_guard lock(this->mutex);
-        const auto found = this->timers.find(id);
-        if (found != this->timers.end())
-            found->second->cancel();
-    }
+    void cancel(TimerId id) override { this->table->cancel(id); }
 
 private:
-    void forget(TimerId id)
-    {
-        std::lock_guard lock(this->mutex);
-        this->timers.erase(id);
-    }
-
     boost::asio::io_context &context;
-    std::mutex mutex;
-    TimerId lastTimer = 0;
-    // Holds the timers that wait; an entry leaves when its wait ends.
-    std::unordered_map<TimerId, std::shared_ptr<boost::asio::steady_timer>> timers;
+    std::shared_ptr<TimerTable> table = std::make_shared<TimerTable>();
 };
 
 } // namespace
