Start a timer's wait under the lock that cancels it

Measured: the clock tests pass; test_tools still crashes now and then in its delay case, cause open.

--- a/libs/clock/src/asio_clock.cpp
+++ b/libs/clock/src/asio_clock.cpp
@@ -76,13 +76,13 @@
     TimerId schedule(core::TimePoint time, std::function<void()> callback) override
     {
         auto timer = std::make_shared<boost::asio::steady_timer>(this->context, time);
-        const TimerId id = this->table->add(timer);
-        timer->async_wait([timers = this->table, id, timer,
-                           callback = std::move(callback)](const boost::system::error_code &) {
-            if (timers->claim(id))
-                callback();
+        return this->table->start(timer, [&](TimerId id) {
+            return [timers = this->table, id, timer,
+                    callback = std::move(callback)](const boost::system::error_code &) {
+                if (timers->claim(id))
+                    callback();
+            };
         });
-        return id;
     }
 
     void cancel(TimerId id) override { this->table->cancel(id); }
