--- a/libs/http/src/refusal.cpp
+++ b/libs/http/src/refusal.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned internalError = 500;
 constexpr unsigned badGateway = 502;
 constexpr unsigned unavailable = 503;
-constexpr unsigned gatewayTimeout = 504;
+constexpr unsigned outcomeUnknownStatus = 504;
 
 std::string escapeJson(std::string_view text)
 {
@@ -44,7 +44,7 @@
         return unavailable;
     case core::ErrorKind::Timeout:
     case core::ErrorKind::ConnectionLost:
-        return gatewayTimeout;
+        return outcomeUnknownStatus;
     case core::ErrorKind::Protocol:
         return badGateway;
     default:
--- a/libs/net/src/deadline.cpp
+++ b/libs/net/src/deadline.cpp
@@ -29,7 +29,7 @@
 
 core::TimePoint Deadline::now()
 {
-    return std::chrono::steady_clock::now();
+    return Timer::clock_type::now(); // The clock that the timer compares with.
 }
 
 void Deadline::arm()
--- a/libs/records/include/amaranthdale/records/record_codec.h
+++ b/libs/records/include/amaranthdale/records/record_codec.h
@@ -9,6 +9,9 @@
 
 namespace amaranthdale::records {
 
+/// Longest ban of a request fingerprint that a record may state.
+inline constexpr core::Duration longestBan = std::chrono::hours(24);
+
 /// Writes a record as one line of ASCII. Hot keys and snapshot pieces are percent-encoded, since
 /// they may hold any bytes.
 std::string encodeRecord(const decisions::LogRecord &record);
--- a/libs/records/src/record_codec.cpp
+++ b/libs/records/src/record_codec.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr core::Duration longestBan = 24h;
 constexpr std::uint32_t mostPieces = 1'000'000;
 constexpr core::SlotIndex anySlot = std::numeric_limits<core::SlotIndex>::max();
 
--- a/libs/records/src/state_codec.cpp
+++ b/libs/records/src/state_codec.cpp
@@ -1,12 +1,15 @@
 // JSON form of the replayed state.
 #include "amaranthdale/records/state_codec.h"
 
+#include "amaranthdale/records/duration.h"
+#include "amaranthdale/records/record_codec.h"
 #include "json_form.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace amaranthdale::records {
 
@@ -24,6 +27,7 @@
     std::map<core::ServiceName, ServiceState> services;
     std::map<core::ServerName, ServerState> servers;
     std::map<core::DataCentreName, DataCentreState> dataCentres;
+    std::map<std::uint64_t, CrashBan> crashBans;
 };
 
 json::object ownerToJson(const SlotOwner &owner)
@@ -74,7 +78,8 @@
         result["controller"] =
                 json::object{{"instance", detail::toJson(server.controller->instance)},
                              {"successors", detail::toJson(server.controller->successors)},
-                             {"epoch", server.controller->epoch.value}};
+                             {"epoch", server.controller->epoch.value},
+                             {"abandonedAt", server.controller->abandonedAt.value}};
     return result;
 }
 
@@ -85,6 +90,13 @@
             {"changedAt", state.changedAt.value}};
 }
 
+json::object crashBanToJson(std::uint64_t fingerprint, const CrashBan &ban)
+{
+    return {{"fingerprint", fingerprint},
+            {"since", ban.since.value},
+            {"ban", jsonText(formatDuration(ban.ban))}};
+}
+
 template<class Number>
 void readOffset(ObjectReader &reader, std::string_view name, Number &target,
                 const core::LogOffset &latest)
@@ -149,6 +161,7 @@
                   [&](ObjectReader &each) { detail::read(each, controller.instance); });
     detail::readInstances(reader, "successors", controller.successors);
     readOffset(reader, "epoch", controller.epoch, state.offset);
+    readOffset(reader, "abandonedAt", controller.abandonedAt, state.offset);
 }
 
 void readServer(ObjectReader &reader, State &state)
@@ -177,6 +190,18 @@
         reader.fault("name", "stands twice; write the state anew");
 }
 
+void readCrashBan(ObjectReader &reader, State &state)
+{
+    std::uint64_t fingerprint = 0;
+    CrashBan ban;
+    reader.integer("fingerprint", fingerprint, std::uint64_t(0),
+                   std::numeric_limits<std::uint64_t>::max());
+    readOffset(reader, "since", ban.since, state.offset);
+    reader.duration("ban", ban.ban, core::Duration::zero(), longestBan);
+    if (!state.crashBans.emplace(fingerprint, ban).second)
+        reader.fault("fingerprint", "stands twice; write the state anew");
+}
+
 void readState(ObjectReader &reader, State &state)
 {
     std::uint64_t format = 0;
@@ -188,6 +213,8 @@
                    [&](ObjectReader &each) { readServer(each, state); });
     reader.objects("services", Presence::Required,
                    [&](ObjectReader &each) { readService(each, state); });
+    reader.objects("crashBans", Presence::Required,
+                   [&](ObjectReader &each) { readCrashBan(each, state); });
     reader.finish();
 }
 
@@ -204,11 +231,15 @@
     json::array dataCentres;
     for (const auto &[name, dataCentre] : state.dataCentres())
         dataCentres.push_back(dataCentreToJson(name, dataCentre));
+    json::array crashBans;
+    for (const auto &[fingerprint, ban] : state.crashBans())
+        crashBans.push_back(crashBanToJson(fingerprint, ban));
     return json::serialize(json::object{{"format", stateFormat},
                                         {"offset", state.offset().value},
                                         {"dataCentres", std::move(dataCentres)},
                                         {"servers", std::move(servers)},
-                                        {"services", std::move(services)}});
+                                        {"services", std::move(services)},
+                                        {"crashBans", std::move(crashBans)}});
 }
 
 Checked<ClusterState> decodeState(std::string_view text)
@@ -223,7 +254,7 @@
         return faults;
     ClusterState result;
     result.restore(state.offset, std::move(state.services), std::move(state.servers),
-                   std::move(state.dataCentres));
+                   std::move(state.dataCentres), std::move(state.crashBans));
     return result;
 }
 
--- a/libs/report/src/operator_views.cpp
+++ b/libs/report/src/operator_views.cpp
@@ -66,17 +66,17 @@
 
 void readInstance(ObjectReader &reader, InstanceView &instance)
 {
-    constexpr auto mostAgeMs = static_cast<std::uint64_t>(std::numeric_limits<std::int32_t>::max());
+    constexpr auto mostAge = static_cast<std::uint64_t>(std::numeric_limits<std::int32_t>::max());
     reader.name("name", instance.name);
     optionalName(reader, "dataCentre", instance.dataCentre);
     reader.flag("leaving", instance.leaving);
     if (!reader.has("offset"))
         return;
     HeardOffset heard;
-    std::uint64_t ageMs = 0;
+    std::uint64_t age = 0;
     reader.number("offset", heard.offset);
-    reader.integer("ageMs", ageMs, std::uint64_t(0), mostAgeMs);
-    heard.age = std::chrono::milliseconds(ageMs);
+    reader.integer("ageMs", age, std::uint64_t(0), mostAge);
+    heard.age = std::chrono::milliseconds(age);
     instance.heard = heard;
 }
 
--- a/tools/backend_standin/grant_table.cpp
+++ b/tools/backend_standin/grant_table.cpp
@@ -12,7 +12,7 @@
 using records::ObjectReader;
 using records::Presence;
 
-constexpr std::uint64_t latestMs = 1'000'000'000'000'000;
+constexpr std::uint64_t latestExpiry = 1'000'000'000'000'000;
 constexpr std::string_view slotsRemedy = "give pairs of first and last slot";
 
 void readSlots(ObjectReader &reader, std::vector<history::SlotRange> &slots)
@@ -57,9 +57,9 @@
     reader.number("epoch", grant.fence.epoch);
     reader.integer("sequence", grant.fence.sequence, std::uint64_t(0),
                    std::numeric_limits<std::uint64_t>::max());
-    std::uint64_t expiresAtMs = 0;
-    reader.integer("expiresAtMs", expiresAtMs, std::uint64_t(0), latestMs);
-    grant.expiresAt = core::TimePoint(std::chrono::milliseconds(expiresAtMs));
+    std::uint64_t expiry = 0;
+    reader.integer("expiresAtMs", expiry, std::uint64_t(0), latestExpiry);
+    grant.expiresAt = core::TimePoint(std::chrono::milliseconds(expiry));
     readSlots(reader, grant.slots);
     readHotKeys(reader, grant.hotKeys);
 }
--- a/tools/log_standin/log_handler.cpp
+++ b/tools/log_standin/log_handler.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::uint64_t mostPerPage = 10'000;
 constexpr std::uint64_t defaultPerPage = 1'000;
-constexpr std::uint64_t longestWaitMs = 60'000;
+constexpr std::chrono::milliseconds longestWait = std::chrono::seconds(60);
 
 // Records travel as JSON strings, which hold UTF-8 only.
 bool isUtf8(const std::string &text)
@@ -115,7 +115,8 @@
                                   "from, max and waitMs must be whole numbers, max above 0"));
     Waiter waiter{stream, std::max<std::uint64_t>(*from, 1),
                   static_cast<std::size_t>(std::min(*most, mostPerPage)), respond, 0};
-    const auto wait = std::chrono::milliseconds(std::min(*waitMs, longestWaitMs));
+    const auto waitBound = static_cast<std::uint64_t>(longestWait.count());
+    const auto wait = std::chrono::milliseconds(std::min(*waitMs, waitBound));
     const auto delay = this->state.with([](State &held) { return held.faults.readDelay; });
     if (delay == core::Duration::zero())
         return this->readNow(std::move(waiter), wait);
