Share one listener between both transports

Change: net::Listener holds acceptor, connections and handler gate; each transport gives the function that starts a connection.

--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -5,8 +5,7 @@
 #include "stream_body.h"
 
 #include "amaranthdale/http/server.h"
-#include "amaranthdale/net/acceptor.h"
-#include "amaranthdale/net/handler_gate.h"
+#include "amaranthdale/net/listener.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -16,16 +15,7 @@
 namespace amaranthdale::http {
 
 /// What the connections of one listener share.
-struct ServerShared
-{
-    ServerShared(core::RequestHandler &handler, ServerLimits serverLimits)
-        : gate(handler), limits(serverLimits)
-    { }
-
-    net::HandlerGate gate;
-    net::ConnectionSet connections;
-    const ServerLimits limits;
-};
+using ServerShared = net::ListenerShared<ServerLimits>;
 
 /// Reads requests one after the other and writes their responses. One read is pending at nearly all
 /// times, so that the end of the connection is noticed while a request is being answered.
--- a/libs/peer/src/peer_server.cpp
+++ b/libs/peer/src/peer_server.cpp
@@ -58,55 +58,17 @@
     const std::weak_ptr<ServerSession> session;
 };
 
-class PeerServer : public core::HttpListener
+void acceptSession(const std::shared_ptr<ServerShared> &shared, net::Socket socket)
 {
-public:
-    PeerServer(boost::asio::io_context &context, core::RequestHandler &handler,
-               SessionLimits limits)
-        : shared(std::make_shared<ServerShared>(handler, limits)),
-          acceptor(std::make_shared<net::Acceptor>(context, [target = this->shared](auto socket) {
-              acceptSession(target, std::move(socket));
-          }))
-    { }
-
-    ~PeerServer() override
-    {
-        this->acceptor->stop();
-        this->shared->connections.closeAll();
-        this->shared->gate.close();
-    }
-
-    core::Result<void> listen(const core::Endpoint &address)
-    {
-        BOOST_LEAF_ASSIGN(this->bound, this->acceptor->listen(address));
-        return {};
-    }
-
-    core::Endpoint localEndpoint() const override { return this->bound; }
-
-    void drain(std::function<void()> drained) override
-    {
-        this->acceptor->stop();
-        this->shared->connections.drainAll(std::move(drained));
-    }
-
-private:
-    static void acceptSession(const std::shared_ptr<ServerShared> &target, net::Socket socket)
-    {
-        auto session = std::make_shared<ServerSession>(std::move(socket), target);
-        session->connection = std::make_shared<SessionConnection>(session);
-        if (!target->connections.add(session->connection))
-            return;
-        boost::asio::post(session->strand(), [session] {
-            if (session->isOpen())
-                session->start();
-        });
-    }
-
-    const std::shared_ptr<ServerShared> shared;
-    const std::shared_ptr<net::Acceptor> acceptor;
-    core::Endpoint bound;
-};
+    auto session = std::make_shared<ServerSession>(std::move(socket), shared);
+    session->connection = std::make_shared<SessionConnection>(session);
+    if (!shared->connections.add(session->connection))
+        return;
+    boost::asio::post(session->strand(), [session] {
+        if (session->isOpen())
+            session->start();
+    });
+}
 
 } // namespace
 
@@ -115,7 +77,8 @@
                                                                  core::RequestHandler &handler,
                                                                  SessionLimits limits)
 {
-    auto server = std::make_unique<PeerServer>(context, handler, limits);
+    auto server = std::make_unique<net::Listener<SessionLimits>>(context, handler, limits,
+                                                                 &acceptSession);
     BOOST_LEAF_CHECK(server->listen(address));
     return std::unique_ptr<core::HttpListener>(std::move(server));
 }
--- a/libs/peer/src/server_stream.h
+++ b/libs/peer/src/server_stream.h
@@ -3,22 +3,12 @@
 
 #include "frame_session.h"
 
-#include "amaranthdale/net/acceptor.h"
-#include "amaranthdale/net/handler_gate.h"
+#include "amaranthdale/net/listener.h"
 
 namespace amaranthdale::peer {
 
 /// What the sessions of one listener share.
-struct ServerShared
-{
-    ServerShared(core::RequestHandler &handler, SessionLimits sessionLimits)
-        : gate(handler), limits(sessionLimits)
-    { }
-
-    net::HandlerGate gate;
-    net::ConnectionSet connections;
-    const SessionLimits limits;
-};
+using ServerShared = net::ListenerShared<SessionLimits>;
 
 /// Collects a request, passes it to the handler and sends the response. Used on the session's
 /// strand only.
