Transfer ledgers also between two servers of one controller

Cause: when a slot moves between two servers that the same instance controls, no ledger was fetched, so ids issued before the move got the outcome unknown although this process knew them. Change: the fetch is decided whatever instance the former controller is; it then asks itself. Ruled out: sharing one ledger between runners, which would couple their locks.

--- a/libs/decisions/src/ownership_control.cpp
+++ b/libs/decisions/src/ownership_control.cpp
@@ -133,7 +133,8 @@
     }
     for (const auto &[path, keys] : arrived) {
         const ServerState *source = before->findServer(path.first);
-        if (source && source->controller && source->controller->instance != this->self())
+        // Also from this instance itself: each server has a ledger of its own.
+        if (source && source->controller)
             this->actions.emplace_back(FetchLedger{source->controller->instance, path.second,
                                                    keys.slotList(), keys.hotKeyList()});
     }
