--- /dev/null
+++ b/libs/daemon/tests/daemon_fixtures.h
@@ -0,0 +1,172 @@
+// Fakes at the interfaces of the daemon, for tests without sockets.
+#pragma once
+
+#include "amaranthdale/core/message.h"
+#include "amaranthdale/decisions/cluster_state.h"
+#include "amaranthdale/platform/log_service.h"
+#include "forward.h"
+#include "server_runner.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthdale::daemon::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Counts how often it was cancelled.
+class CountingExchange : public core::Exchange
+{
+public:
+    void cancel() override { ++this->cancelled; }
+
+    int cancelled = 0;
+};
+
+/// Keeps what was sent until the test answers it.
+class FakeSender : public core::HttpSender
+{
+public:
+    struct Sent
+    {
+        core::Endpoint to;
+        core::HttpRequest request;
+        core::Duration timeout{};
+        core::ResponseHandler respond;
+        std::shared_ptr<CountingExchange> exchange;
+    };
+
+    std::shared_ptr<core::Exchange> send(const core::Endpoint &to, core::HttpRequest request,
+                                         core::Duration timeout,
+                                         core::ResponseHandler handler) override
+    {
+        auto exchange = std::make_shared<CountingExchange>();
+        this->sent.push_back({to, std::move(request), timeout, std::move(handler), exchange});
+        return exchange;
+    }
+
+    /// Number of requests with this method.
+    std::size_t count(std::string_view method) const
+    {
+        std::size_t found = 0;
+        for (const Sent &each : this->sent)
+            found += each.request.method == method ? 1U : 0U;
+        return found;
+    }
+
+    std::deque<Sent> sent;
+};
+
+/// Body whose chunks the test delivers one by one.
+class ManualBody : public core::BodyReader
+{
+public:
+    using Handler = std::function<void(core::Outcome<core::BodyChunk>)>;
+
+    void read(Handler handler) override { this->waiting = std::move(handler); }
+
+    void deliver(core::Outcome<core::BodyChunk> chunk)
+    {
+        auto handler = std::exchange(this->waiting, nullptr);
+        handler(std::move(chunk));
+    }
+
+    Handler waiting;
+};
+
+/// Says yes until the test says no.
+class FakeGate : public SendGate
+{
+public:
+    std::optional<core::Fence> mayServe(const core::ServerName &) const override
+    {
+        return this->serve ? std::optional(core::Fence{core::Epoch(5), 2}) : std::nullopt;
+    }
+    std::optional<core::Fence> maySend(const ForwardRequest &request) const override
+    {
+        ++this->asked;
+        if (this->refuseFrom && this->asked >= this->refuseFrom)
+            return std::nullopt;
+        return this->mayServe(request.server);
+    }
+
+    bool serve = true;
+    int refuseFrom = 0; // Number of the first question that gets a no; 0: none.
+    mutable int asked = 0;
+};
+
+/// Keeps forwarded requests until the test ends them.
+class FakeForwarder : public Forwarder
+{
+public:
+    struct Forwarded
+    {
+        ForwardRequest request;
+        ForwardHandler end;
+        std::shared_ptr<CountingExchange> exchange;
+    };
+
+    std::shared_ptr<core::Exchange> forward(ForwardRequest request, ForwardHandler handler) override
+    {
+        auto exchange = std::make_shared<CountingExchange>();
+        this->forwarded.push_back({std::move(request), std::move(handler), exchange});
+        if (this->duringForward)
+            this->duringForward();
+        return exchange;
+    }
+
+    std::deque<Forwarded> forwarded;
+    std::function<void()> duringForward; // Called inside `forward`.
+};
+
+/// A log whose reads wait until the test answers them; appends are kept likewise.
+class FakeLog : public platform::LogService
+{
+public:
+    struct Read
+    {
+        core::LogOffset from;
+        std::function<void(core::Outcome<platform::LogPage>)> answer;
+    };
+    struct Append
+    {
+        std::string body;
+        std::function<void(core::Outcome<core::LogOffset>)> answer;
+    };
+
+    void append(std::string body, core::Duration,
+                std::function<void(core::Outcome<core::LogOffset>)> handler) override
+    {
+        this->appends.push_back({std::move(body), std::move(handler)});
+    }
+    void read(core::LogOffset from, std::size_t, core::Duration, core::Duration,
+              std::function<void(core::Outcome<platform::LogPage>)> handler) override
+    {
+        this->reads.push_back({from, std::move(handler)});
+    }
+
+    std::deque<Read> reads;
+    std::deque<Append> appends;
+};
+
+inline std::string bodyOf(const core::HttpResponse &response)
+{
+    std::string text;
+    core::readWholeBody(response.body, 1 << 20, [&](core::Outcome<std::string> whole) {
+        text = whole ? *whole : "error: " + whole.error().message;
+    });
+    return text;
+}
+
+inline core::HttpResponse notRun(unsigned status)
+{
+    core::HttpResponse response = core::makeResponse(status, "");
+    response.headers.push_back({"X-Not-Run", "true"});
+    return response;
+}
+
+} // namespace amaranthdale::daemon::test
--- /dev/null
+++ b/libs/daemon/tests/log_follower_test.cpp
@@ -0,0 +1,267 @@
+// Tests of the log follower: each guards a way to act on a state that the log doesn't hold, or to
+// take an old read for proof that no newer controller exists.
+#include "daemon_fixtures.h"
+#include "log_follower.h"
+
+#include "amaranthdale/clock/manual_clock.h"
+#include "amaranthdale/decisions/authority_policy.h"
+#include "amaranthdale/decisions/placement.h"
+#include "amaranthdale/log/capturing_log.h"
+#include "amaranthdale/records/record_codec.h"
+#include "amaranthdale/records/state_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthdale;
+using namespace amaranthdale::daemon;
+using namespace amaranthdale::daemon::test;
+using core::Error;
+using core::ErrorKind;
+using core::LogOffset;
+
+namespace {
+
+const core::InstanceId proposer{core::InstanceName("i1"), core::Incarnation(11)};
+
+decisions::LogRecord recordAt(std::uint64_t offset, decisions::RecordBody body)
+{
+    return {{proposer, offset}, LogOffset(offset - 1), std::move(body)};
+}
+
+// A record that drains a data centre of its own at each offset.
+decisions::LogRecord drainAt(std::uint64_t offset)
+{
+    const core::DataCentreName name("dc-" + std::to_string(offset));
+    return recordAt(offset, decisions::DataCentreRecord{name, true});
+}
+
+decisions::ClusterState stateUpTo(std::uint64_t last)
+{
+    decisions::ClusterState state;
+    for (std::uint64_t offset = 1; offset <= last; ++offset)
+        REQUIRE(state.apply(LogOffset(offset), drainAt(offset)).accepted);
+    return state;
+}
+
+platform::LogEntry entryAt(std::uint64_t offset)
+{
+    return {LogOffset(offset), records::encodeRecord(drainAt(offset))};
+}
+
+class FakeListener : public ReplayListener
+{
+public:
+    void recordApplied(LogOffset offset, const decisions::LogRecord &,
+                       const decisions::Applied &) override
+    {
+        this->applied.push_back(offset.value);
+    }
+    void replayed(const StatePointer &state) override
+    {
+        this->published.push_back(state->offset().value);
+    }
+    void tailRead(core::TimePoint began) override { this->tails.push_back(began); }
+
+    std::vector<std::uint64_t> applied;
+    std::vector<std::uint64_t> published;
+    std::vector<core::TimePoint> tails;
+};
+
+class FakePeers : public StateSource
+{
+public:
+    using Handler = std::function<void(core::Outcome<decisions::ClusterState>)>;
+
+    void fetchState(Handler handler) override
+    {
+        ++this->asked;
+        handler(this->answer);
+    }
+
+    core::Outcome<decisions::ClusterState> answer = Error{ErrorKind::Unavailable, "no peer"};
+    int asked = 0;
+};
+
+struct Fixture
+{
+    clock::ManualClock clock;
+    FakeLog service;
+    log::CapturingLog log;
+    FakeListener listener;
+    FakePeers peers;
+    Tables tables{
+            decisions::OwnershipSettings{},
+            std::make_unique<decisions::NamedSuccessorAuthority>(decisions::OwnershipTimings{}),
+            std::make_unique<decisions::RendezvousPlacement>(), this->clock.now()};
+    LogFollower follower{this->service, this->clock,    this->tables,
+                         this->log,     this->listener, this->peers};
+
+    Fixture() { this->follower.start(); }
+
+    void answer(core::Outcome<platform::LogPage> page)
+    {
+        REQUIRE(this->service.reads.size() == 1); // One read is on its way at a time.
+        auto read = std::move(this->service.reads.front());
+        this->service.reads.pop_front();
+        read.answer(std::move(page));
+    }
+
+    void page(std::uint64_t first, std::uint64_t next, std::vector<platform::LogEntry> entries)
+    {
+        this->answer(platform::LogPage{LogOffset(first), LogOffset(next), std::move(entries)});
+    }
+
+    std::uint64_t nextFrom() const { return this->service.reads.front().from.value; }
+    std::uint64_t offset() const { return this->tables.state()->offset().value; }
+};
+
+using Offsets = std::vector<std::uint64_t>;
+
+} // namespace
+
+TEST_CASE("a record that can't be decoded is skipped and logged, and doesn't stop the replay")
+{
+    Fixture fixture;
+    fixture.page(1, 4, {entryAt(1), {LogOffset(2), "{broken"}, entryAt(3)});
+    CHECK(fixture.listener.applied == Offsets{1, 3});
+    CHECK(fixture.offset() == 3);
+    CHECK(fixture.nextFrom() == 4);
+    CHECK(fixture.log.count("record-undecodable") == 1);
+}
+
+TEST_CASE("only a read that reaches the tail counts as proof, from the time at which it began")
+{
+    Fixture fixture;
+    const core::TimePoint began = fixture.clock.now();
+    fixture.clock.advance(milliseconds(40));
+    fixture.page(1, 4, {entryAt(1), entryAt(2)});
+    CHECK(fixture.listener.tails.empty());
+    CHECK_FALSE(fixture.follower.ready());
+    const core::TimePoint second = fixture.clock.now();
+    fixture.clock.advance(milliseconds(40));
+    fixture.page(1, 4, {entryAt(3)});
+    REQUIRE(fixture.listener.tails.size() == 1);
+    CHECK(fixture.listener.tails[0] == second);
+    CHECK(second > began);
+    CHECK(fixture.follower.ready());
+    CHECK(fixture.follower.readAge() == milliseconds(40));
+}
+
+TEST_CASE("records that come again are not replayed again")
+{
+    Fixture fixture;
+    fixture.page(1, 3, {entryAt(1), entryAt(2)});
+    fixture.page(1, 4, {entryAt(1), entryAt(2), entryAt(3)});
+    CHECK(fixture.listener.applied == Offsets{1, 2, 3});
+    CHECK(fixture.offset() == 3);
+}
+
+TEST_CASE("after retention the state starts from a snapshot, and what is behind it is replayed "
+          "once, so that no assignment is lost or applied twice")
+{
+    Fixture fixture;
+    const std::string whole = records::encodeState(stateUpTo(4));
+    const auto pieces = records::splitState(LogOffset(4), whole);
+    std::vector<platform::LogEntry> entries = {entryAt(3), entryAt(4), entryAt(5)};
+    std::uint64_t offset = 6;
+    for (const decisions::SnapshotRecord &piece : pieces) {
+        entries.push_back({LogOffset(offset), records::encodeRecord(recordAt(offset, piece))});
+        ++offset;
+    }
+    // Nothing is published, and no tail counts, before the snapshot is complete.
+    fixture.page(3, offset, {entries[0], entries[1]});
+    CHECK(fixture.listener.published.empty());
+    CHECK(fixture.listener.tails.empty());
+    fixture.page(3, offset, {entries.begin() + 2, entries.end()});
+    CHECK(fixture.log.count("log-truncated") == 1);
+    REQUIRE_FALSE(fixture.listener.applied.empty());
+    CHECK(fixture.listener.applied.front() == 5);
+    CHECK(fixture.listener.applied.size() == 1 + pieces.size());
+    CHECK(fixture.offset() == offset - 1);
+    CHECK(fixture.tables.state()->isDrained(core::DataCentreName("dc-1")));
+    CHECK(fixture.tables.state()->isDrained(core::DataCentreName("dc-5")));
+    CHECK(fixture.follower.ready());
+    fixture.page(3, offset + 1, {entryAt(offset)});
+    CHECK(fixture.offset() == offset);
+    CHECK(fixture.listener.applied.size() == 2 + pieces.size());
+}
+
+TEST_CASE("a gap in a running instance starts from a snapshot as well, and never goes back")
+{
+    Fixture fixture;
+    fixture.page(1, 3, {entryAt(1), entryAt(2)});
+    const auto old = records::splitState(LogOffset(1), records::encodeState(stateUpTo(1)));
+    std::vector<platform::LogEntry> entries;
+    std::uint64_t offset = 10;
+    for (const decisions::SnapshotRecord &piece : old) {
+        entries.push_back({LogOffset(offset), records::encodeRecord(recordAt(offset, piece))});
+        ++offset;
+    }
+    // The snapshot covers less than the records that are missing: it can't close the gap.
+    fixture.page(10, offset, entries);
+    for (std::size_t index = 1; index < fixture.listener.published.size(); ++index)
+        CHECK(fixture.listener.published[index - 1] <= fixture.listener.published[index]);
+    CHECK(fixture.offset() == 2);
+    CHECK(fixture.listener.tails.size() == 1);
+}
+
+TEST_CASE("a snapshot whose piece is on the log twice is used all the same")
+{
+    Fixture fixture;
+    const auto pieces = records::splitState(LogOffset(4), records::encodeState(stateUpTo(4)), 64);
+    REQUIRE(pieces.size() > 1);
+    std::vector<platform::LogEntry> entries;
+    std::uint64_t offset = 5;
+    const auto add = [&](const decisions::SnapshotRecord &piece) {
+        entries.push_back({LogOffset(offset), records::encodeRecord(recordAt(offset, piece))});
+        ++offset;
+    };
+    add(pieces.front());
+    for (const decisions::SnapshotRecord &piece : pieces)
+        add(piece);
+    fixture.page(5, offset, entries);
+    CHECK(fixture.offset() == offset - 1);
+    CHECK(fixture.follower.ready());
+}
+
+TEST_CASE("while the log can't be read a fresh instance starts from its peers' state, and has no "
+          "authority from it")
+{
+    Fixture fixture;
+    fixture.peers.answer = stateUpTo(4);
+    fixture.answer(Error{ErrorKind::Unavailable, "log is down"});
+    CHECK(fixture.service.reads.empty());
+    fixture.clock.advance(milliseconds(50));
+    CHECK(fixture.offset() == 4);
+    CHECK(fixture.nextFrom() == 5);
+    CHECK(fixture.listener.tails.empty());
+    // An older state that another peer gives later changes nothing.
+    fixture.peers.answer = stateUpTo(2);
+    fixture.answer(Error{ErrorKind::Unavailable, "log is down"});
+    fixture.clock.advance(milliseconds(50));
+    CHECK(fixture.offset() == 4);
+    CHECK(fixture.listener.published == Offsets{4});
+    fixture.page(1, 6, {entryAt(5)});
+    CHECK(fixture.offset() == 5);
+    CHECK(fixture.listener.tails.size() == 1);
+}
+
+TEST_CASE("an instance that has replayed the log doesn't replace its state by a peer's")
+{
+    Fixture fixture;
+    fixture.page(1, 2, {entryAt(1)});
+    fixture.peers.answer = stateUpTo(4);
+    fixture.answer(Error{ErrorKind::Timeout, "log is slow"});
+    fixture.clock.advance(milliseconds(50));
+    CHECK(fixture.peers.asked == 0);
+    CHECK(fixture.nextFrom() == 2);
+    CHECK(fixture.offset() == 1);
+}
+
+TEST_CASE("a stopped follower reads no more")
+{
+    Fixture fixture;
+    fixture.follower.stop();
+    fixture.page(1, 2, {entryAt(1)});
+    CHECK(fixture.service.reads.empty());
+}
