End an attached resend whose caller goes away

Cause: callerGone detached the ticket without an action, so the runner kept the run and its handler for good, and its idle() stayed false. Ruled out: the end of the first request doesn't reach a detached ticket. Before: 'a resend whose caller goes away while it waits leaves nothing behind' fails. After: it passes.

--- a/libs/decisions/src/dispatcher_control.cpp
+++ b/libs/decisions/src/dispatcher_control.cpp
@@ -27,6 +27,7 @@
     switch (left.stage) {
     case Stage::Attached:
         this->detach(ticket);
+        actions.emplace_back(RefuseRequest{ticket, detail::refusedWhileInFlight()});
         break;
     case Stage::Queued:
         this->queue.remove(ticket);
