Cancel what is in flight at the deadline of a pause

The slot then moved while its server still ran the request. Ruled out: the engine doesn't cancel them; it sends CancelRequests only for another incarnation. Conclusion: sent requests of the slots are cancelled before idle. A response whose body streams already can't be cancelled there.

--- a/libs/daemon/src/server_runner.cpp
+++ b/libs/daemon/src/server_runner.cpp
@@ -468,10 +468,23 @@
     this->scheduleTick();
 }
 
+void ServerRunner::collectSent(const State &shared, const std::vector<core::SlotIndex> &slots,
+                               std::vector<Cancellation> &found)
+{
+    for (const auto &[ticket, run] : shared.runs) {
+        const decisions::RequestInfo &info = run.request.info;
+        const bool ofSlots =
+                !info.anyServer && std::find(slots.begin(), slots.end(), info.slot) != slots.end();
+        if (ofSlots && run.exchange)
+            found.push_back({info.id, run.exchange});
+    }
+}
+
 void ServerRunner::endPauses()
 {
     const core::TimePoint now = this->context.clock.now();
     std::vector<std::function<void()>> ended;
+    std::vector<Cancellation> late;
     this->state.with([&](State &shared) {
         std::erase_if(shared.pauses, [&](Pause &pause) {
             const bool busy =
@@ -480,10 +493,16 @@
                     });
             if (busy && now < pause.deadline)
                 return false;
+            if (busy)
+                collectSent(shared, pause.slots, late);
             ended.push_back(std::move(pause.idle));
             return true;
         });
     });
+    for (const Cancellation &each : late) {
+        each.exchange->cancel();
+        this->cancelOnServer(each.id);
+    }
     for (const auto &idle : ended)
         idle();
 }
--- a/libs/daemon/src/server_runner.h
+++ b/libs/daemon/src/server_runner.h
@@ -105,6 +105,17 @@
         bool ticking = false;
     };
 
+    // A sent request that is to be cancelled.
+    struct Cancellation
+    {
+        core::RequestId id;
+        std::shared_ptr<core::Exchange> exchange;
+    };
+
+    // Adds the sent requests of `slots` to `found`.
+    static void collectSent(const State &shared, const std::vector<core::SlotIndex> &slots,
+                            std::vector<Cancellation> &found);
+
     void perform(const decisions::Actions &actions);
     void perform(const decisions::SendRequest &action);
     void perform(const decisions::RefuseRequest &action);
