Cancel an attempt whose caller went away while it was forwarded

Cause: the exchange of an attempt is stored after forward returns; an end in between found nothing to cancel, so the request ran on for nobody. Ruled out: the handler of the attempt, which finds the request ended, gives up only the body. Before: 'a caller that goes away while its request is being forwarded still cancels it' fails. After: it passes. Conclusion: the attempt is cancelled on return when the request has ended.

--- a/libs/daemon/src/caller_request.cpp
+++ b/libs/daemon/src/caller_request.cpp
@@ -107,13 +107,18 @@
             [self = this->shared_from_this(), number, server = *server](ForwardResult result) {
                 self->attemptEnded(number, server, std::move(result));
             });
+    bool over = false;
     {
         std::lock_guard lock(this->mutex);
+        over = this->ended;
         for (Attempt &each : this->attempts) {
             if (each.number == number)
                 each.exchange = exchange;
         }
     }
+    // An end during the call found no exchange to cancel.
+    if (over && exchange)
+        exchange->cancel();
     if (!hedge && number == 1)
         this->scheduleHedge();
 }
