Send a request under a new id when its own predates the ledger

Cause: an id made by the entry instance before a takeover is refused as not run by the new controller for ever; the entry repeated it until the deadline. Ruled out: running it under the old id, which the ledger must refuse since an earlier controller may hold it as in flight. Before: 'an id made here that predates the controller's memory is replaced by a newer one' fails. After: it passes, with and without keys. Conclusion: after a fenced refusal the entry makes an id at its newest offset, if that is newer, and routes by it where the service has no keys. Ids that callers gave are kept.

--- a/libs/daemon/src/caller_request.cpp
+++ b/libs/daemon/src/caller_request.cpp
@@ -173,8 +173,10 @@
 
 void CallerRequest::decideAfter(const ForwardResult &result)
 {
-    if (result.outcome == RunOutcome::NotRun && result.refusal.kind == ErrorKind::Fenced)
+    if (result.outcome == RunOutcome::NotRun && result.refusal.kind == ErrorKind::Fenced) {
+        this->renewId();
         return this->waitForOwner(result);
+    }
     decisions::FailedAttempt failed;
     failed.outcome = result.outcome;
     failed.kind = result.refusal.kind;
@@ -192,6 +194,19 @@
     this->giveUp(result);
 }
 
+void CallerRequest::renewId()
+{
+    // A controller whose memory starts later than the id never runs it. The id was made for this
+    // request, and each attempt under it ended as not run, so it can't have run anywhere else.
+    const StatePointer state = this->context.shared.state();
+    const decisions::ServiceState *service = state->findService(this->routed.info.service);
+    if (!service || this->routed.info.idempotent)
+        return;
+    this->context.entry.with([&](EntryTable &table) {
+        decisions::renewId(*service, this->routed, state->offset(), table.random);
+    });
+}
+
 void CallerRequest::waitForOwner(const ForwardResult &result)
 {
     const bool inTime = this->context.clock.now() + ownerPollInterval < this->routed.info.deadline;
--- a/libs/daemon/src/caller_request.h
+++ b/libs/daemon/src/caller_request.h
@@ -65,6 +65,7 @@
     bool forgetAttempt(unsigned number);
     void decideAfter(const ForwardResult &result);
     void waitForOwner(const ForwardResult &result);
+    void renewId();
     void again(core::Duration delay);
     void answer(const core::ServerName &server, ForwardResult result);
     void giveUp(const ForwardResult &result);
@@ -74,7 +75,7 @@
                 report::NotRunReason reason);
 
     EntryContext context;
-    const decisions::RoutedRequest routed;
+    decisions::RoutedRequest routed; // Changed by `renewId` only, while no attempt is on its way.
     const bool keyedService;
     const core::TimePoint arrivedAt;
     core::HttpRequest request;
--- a/libs/decisions/include/amaranthdale/decisions/routing.h
+++ b/libs/decisions/include/amaranthdale/decisions/routing.h
@@ -30,6 +30,13 @@
                                          const core::HttpRequest &request, core::LogOffset replayed,
                                          RandomSource &random, core::TimePoint now);
 
+/// Gives a request whose id was made by this instance an id of the newest offset `replayed`, and
+/// the route that follows from it. Only for a request that certainly has not run under its present
+/// id. False, and nothing changed, when the id came from the caller or is not older than
+/// `replayed`.
+bool renewId(const ServiceState &service, RoutedRequest &routed, core::LogOffset replayed,
+             RandomSource &random);
+
 /// Owner of the request's key; nothing when its slot has no owner.
 std::optional<core::ServerName> ownerFor(const ServiceState &service, const RoutedRequest &request);
 
--- a/libs/decisions/src/routing.cpp
+++ b/libs/decisions/src/routing.cpp
@@ -107,6 +107,15 @@
     return core::stableHash(request.body, line);
 }
 
+// Slot and hash follow from the key.
+void placeKey(const ServiceDocument &document, RoutedRequest &routed)
+{
+    if (!routed.key)
+        return;
+    routed.info.slot = core::slotOf(*routed.key, document.hashSeed, document.hashSlots);
+    routed.info.keyHash = core::stableHash(*routed.key, document.hashSeed);
+}
+
 } // namespace
 
 Result<core::ServiceName> serviceOf(std::string_view target)
@@ -145,13 +154,24 @@
     }
     routed.ownerOnly = routed.key.has_value();
     info.anyServer = !routed.ownerOnly;
-    if (routed.key) {
-        info.slot = core::slotOf(*routed.key, document.hashSeed, document.hashSlots);
-        info.keyHash = core::stableHash(*routed.key, document.hashSeed);
-    }
+    placeKey(document, routed);
     return routed;
 }
 
+bool renewId(const ServiceState &service, RoutedRequest &routed, core::LogOffset replayed,
+             RandomSource &random)
+{
+    RequestInfo &info = routed.info;
+    const auto madeAt = parseIssuedId(info.id.value);
+    if (info.origin != IdOrigin::Instance || !madeAt || *madeAt >= replayed)
+        return false;
+    info.id = makeIssuedId(replayed, random);
+    if (!service.document.keyed() && !info.idempotent)
+        routed.key = info.id.value;
+    placeKey(service.document, routed);
+    return true;
+}
+
 std::optional<core::ServerName> ownerFor(const ServiceState &service, const RoutedRequest &request)
 {
     if (!request.key)
