--- a/libs/daemon/src/log_follower.cpp
+++ b/libs/daemon/src/log_follower.cpp
@@ -4,6 +4,8 @@
 #include "amaranthdale/records/record_codec.h"
 #include "amaranthdale/records/state_codec.h"
 
+#include <algorithm>
+
 namespace amaranthdale::daemon {
 
 namespace {
@@ -80,7 +82,7 @@
 
 void LogFollower::pageRead(core::TimePoint began, const platform::LogPage &page)
 {
-    if (this->nextOffset < page.first && !this->awaitingSnapshot) {
+    if (this->nextOffset < page.first) {
         this->log.write(Severity::Info, "log-truncated",
                         {{"wanted", std::to_string(this->nextOffset.value)},
                          {"first", std::to_string(page.first.value)}});
@@ -88,6 +90,7 @@
         this->held.clear();
         this->pieces.clear();
         this->nextOffset = page.first;
+        this->heldFrom = page.first;
     }
     if (!page.entries.empty())
         this->replay(page);
@@ -132,9 +135,15 @@
 {
     this->held.emplace(offset, record);
     const auto *piece = std::get_if<decisions::SnapshotRecord>(&record.body);
-    if (!piece)
+    // A snapshot that ends before the held records begin would leave out the records in between.
+    if (!piece || piece->covers.value + 1 < this->heldFrom.value)
         return;
     auto &collected = this->pieces[piece->covers];
+    // A piece may be on the log twice: after a repeated append, or from two writers.
+    const bool known = std::any_of(collected.begin(), collected.end(),
+                                   [&](const auto &each) { return each.index == piece->index; });
+    if (known)
+        return;
     collected.push_back(*piece);
     if (collected.size() < piece->count)
         return;
--- a/libs/daemon/src/log_follower.h
+++ b/libs/daemon/src/log_follower.h
@@ -85,6 +85,7 @@
     // While records before the oldest retained one are missing: what was read since, and the pieces
     // of snapshots by the offset that they cover.
     bool awaitingSnapshot = false;
+    core::LogOffset heldFrom; // Oldest retained offset when the gap was met: `held` begins there.
     std::map<core::LogOffset, decisions::LogRecord> held;
     std::map<core::LogOffset, std::vector<decisions::SnapshotRecord>> pieces;
 };
