Join the workers before the proxy fixture destroys its clock

Cause: ~ProxyFixture destroyed the sockets, the proxy and the clock while worker threads still ran. Closing the sockets ends the proxied flows, and ProxyConnection::onRead then called now() of the destroyed clock. gdb showed a worker there while the main thread was in ~Workers. The proxy requires the clock to outlive its connections; the program itself joins its threads first. Ruled out: the delay and its timer. Other cases of the fixture (one-way drop, half open) crashed too. Not run with an address sanitizer.

--- a/tests/support/test_support.h
+++ b/tests/support/test_support.h
@@ -28,12 +28,16 @@
             this->threads.emplace_back([this] { this->context.run(); });
     }
 
-    ~Workers()
+    ~Workers() { this->join(); }
+
+    /// Ends the threads. Afterwards no handler runs, so what handlers refer to may be destroyed.
+    void join()
     {
         this->guard.reset();
         this->context.stop();
         for (auto &thread : this->threads)
             thread.join();
+        this->threads.clear();
     }
 
     boost::asio::io_context context;
--- a/tools/tests/fault_proxy_test.cpp
+++ b/tools/tests/fault_proxy_test.cpp
@@ -33,6 +33,9 @@
         this->acceptor.accept(this->server);
     }
 
+    // The proxy and its connections use the clock until the last handler has run.
+    ~ProxyFixture() { this->workers.join(); }
+
     void control(const std::string &body)
     {
         CHECK(this->send(this->proxy, {"PUT", "/control", {}, body}).status() == 200);
