Let the load tool measure a backend server directly

A backend server states no X-Outcome, so all its responses counted as unknown. Needed to compare the latency through an instance with the latency without it.

--- a/tools/load_tool/load_plan.h
+++ b/tools/load_tool/load_plan.h
@@ -26,6 +26,7 @@
     core::Duration length = std::chrono::seconds(10);
     core::Duration timeout = std::chrono::seconds(3);
     unsigned resends = 2; ///< Of an unanswered non-idempotent request, through other instances.
+    bool direct = false;  ///< The targets are backend servers, which state no outcome.
     bool ownIds = false;  ///< Ids are made here, else fetched from the instances.
     std::size_t idBatch = 100;
     std::uint64_t seed = 1;
--- a/tools/load_tool/load_run.cpp
+++ b/tools/load_tool/load_run.cpp
@@ -204,7 +204,7 @@
         return this->conclude(call, event);
     }
     event.status = response->status;
-    event.outcome = outcomeOf(*response);
+    event.outcome = this->plan.direct ? directOutcomeOf(*response) : outcomeOf(*response);
     if (call->id.empty())
         event.requestId = core::RequestId(
                 std::string(core::findHeader(response->headers, "X-Request-Id").value_or("")));
--- a/tools/load_tool/main.cpp
+++ b/tools/load_tool/main.cpp
@@ -43,6 +43,7 @@
     options.add_options()("timeout", "Time limit of a request", text("3s"));
     options.add_options()("resends", "Resends of an unanswered non-idempotent request",
                           cxxopts::value<unsigned>()->default_value("2"));
+    options.add_options()("direct", "The instances given are backend servers");
     options.add_options()("own-ids", "Make request ids here instead of fetching them");
     options.add_options()("id-batch", "Ids to fetch at once", count("100"));
     options.add_options()("seed", "Seed of the mix",
@@ -84,6 +85,7 @@
     plan.length = tools::durationOption(result, "length");
     plan.timeout = tools::durationOption(result, "timeout");
     plan.resends = result["resends"].as<unsigned>();
+    plan.direct = result.count("direct") > 0;
     plan.ownIds = result.count("own-ids") > 0;
     plan.idBatch = result["id-batch"].as<std::size_t>();
     plan.seed = result["seed"].as<std::uint64_t>();
--- a/tools/load_tool/response_check.cpp
+++ b/tools/load_tool/response_check.cpp
@@ -41,6 +41,14 @@
     return text == "not-run" ? history::CallOutcome::NotRun : history::CallOutcome::Unknown;
 }
 
+history::CallOutcome directOutcomeOf(const core::HttpResponse &response)
+{
+    if (response.status == statusOk)
+        return history::CallOutcome::Answered;
+    const bool notRun = core::findHeader(response.headers, "X-Not-Run").has_value();
+    return notRun ? history::CallOutcome::NotRun : history::CallOutcome::Unknown;
+}
+
 history::ResponseCheck checkEcho(const core::HttpRequest &request, const core::RequestId &id,
                                  const core::Headers &headers, const std::string &body,
                                  std::optional<std::uint64_t> length)
--- a/tools/load_tool/response_check.h
+++ b/tools/load_tool/response_check.h
@@ -11,6 +11,9 @@
 /// Outcome that a response states; Unknown when it states none.
 history::CallOutcome outcomeOf(const core::HttpResponse &response);
 
+/// Outcome of a response that a backend server itself sent.
+history::CallOutcome directOutcomeOf(const core::HttpResponse &response);
+
 /// Compares an echo body with the request. `id` is what the caller sent, or empty; then the id in
 /// the header counts. `length` is the length that the response announced.
 history::ResponseCheck checkEcho(const core::HttpRequest &request, const core::RequestId &id,
--- a/tools/tests/load_tool_test.cpp
+++ b/tools/tests/load_tool_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the load tool: it must not take a wrong response for a right one, nor hide a late one.
 #include "common/replies.h"
 #include "load_tool/load_run.h"
+#include "load_tool/response_check.h"
 #include "recorder.h"
 
 #include <map>
@@ -112,6 +113,16 @@
     CHECK(payments().size() > 60);
 }
 
+// A refusal counted as answered would make a backend server look faster than it is.
+TEST_CASE("a backend server reached directly answers with 200 and refuses with X-Not-Run")
+{
+    CHECK(directOutcomeOf(replyJson(200, {})) == history::CallOutcome::Answered);
+    core::HttpResponse response = replyJson(503, {});
+    CHECK(directOutcomeOf(response) == history::CallOutcome::Unknown);
+    response.headers.push_back({"X-Not-Run", "true"});
+    CHECK(directOutcomeOf(response) == history::CallOutcome::NotRun);
+}
+
 TEST_CASE_FIXTURE(LoadFixture, "an open loop starts its rate, whatever the responses do")
 {
     plan.ratePerSecond = 1000;
