--- a/libs/decisions/tests/ownership_model.cpp
+++ b/libs/decisions/tests/ownership_model.cpp
@@ -335,7 +335,8 @@
 {
     this->records.push_back(record);
     *offset = core::LogOffset(this->records.size());
-    this->replayedTruth.apply(*offset, record);
+    if (!this->replayedTruth.apply(*offset, record).accepted)
+        ++this->dropped;
 }
 
 void Model::append(RecordBody body)
--- a/libs/decisions/tests/ownership_model.h
+++ b/libs/decisions/tests/ownership_model.h
@@ -112,6 +112,7 @@
     bool statesAgree()
             const; // All live instances replayed the same state, acknowledged records in.
     std::size_t logSize() const { return this->records.size(); }
+    std::size_t recordsDropped() const { return this->dropped; } // By replay, of `logSize`.
     const ClusterState &truth() const { return this->replayedTruth; }
 
     std::vector<std::unique_ptr<ModelInstance>> instances;
@@ -157,6 +158,7 @@
     std::uint64_t steps = 0;
     std::uint64_t lastIncarnation = 100;
     std::uint64_t operatorRecords = 0;
+    std::size_t dropped = 0;
     std::vector<std::string> breachList;
     std::map<core::SlotIndex, core::TimePoint> unservedSince;
     std::set<core::SlotIndex> interrupted;
