Find a replaced instance without a search through all instances

Cause: the search for proposals asks every 10 ms for each backend server whether its controller is gone, and that went through all listed instances. Conclusion: instances of one name are neighbours in the ordered table, so a lookup is enough. The search still exceeds the budget at 1,500 servers.

--- a/libs/decisions/src/failure_detector.cpp
+++ b/libs/decisions/src/failure_detector.cpp
@@ -84,10 +84,14 @@
 {
     if (instance.name == this->self.id.name)
         return instance != this->self.id;
-    return std::any_of(this->peers.begin(), this->peers.end(), [&](const auto &entry) {
-        return entry.second.isListed && entry.first.name == instance.name
-                && entry.first != instance;
-    });
+    // Instances of one name are neighbours in the table. This is asked for each backend server
+    // every 10 ms, so a search through all instances would cost servers times instances.
+    auto entry = this->peers.lower_bound(core::InstanceId{instance.name, core::Incarnation()});
+    for (; entry != this->peers.end() && entry->first.name == instance.name; ++entry) {
+        if (entry->second.isListed && entry->first != instance)
+            return true;
+    }
+    return false;
 }
 
 bool FailureDetector::isGone(const core::InstanceId &instance, core::TimePoint now) const
