--- a/libs/daemon/src/control_actions.cpp
+++ b/libs/daemon/src/control_actions.cpp
@@ -62,6 +62,8 @@
     this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
         engine.serverAnswered(answer, now);
     });
+    this->unavailable.queryEnded(answer.server, bool(parsed), answer.sentAt);
+    this->observeGrants(answer.server);
 }
 
 void ControlLoop::perform(const decisions::ProbeServer &action)
--- a/libs/daemon/src/control_loop.cpp
+++ b/libs/daemon/src/control_loop.cpp
@@ -14,8 +14,8 @@
 } // namespace
 
 ControlLoop::ControlLoop(ControlContext controlContext)
-    : context(std::move(controlContext)), logAge([] { return core::Duration::max(); }),
-      snapshotSequence(firstSnapshotSequence)
+    : context(std::move(controlContext)), unavailable(this->context.recorder, this->context.self),
+      logAge([] { return core::Duration::max(); }), snapshotSequence(firstSnapshotSequence)
 { }
 
 void ControlLoop::start()
@@ -86,6 +86,7 @@
         }
         this->tell(
                 [](decisions::OwnershipEngine &engine, core::TimePoint now) { engine.tick(now); });
+        this->observeAllGrants();
     });
 }
 
@@ -156,6 +157,28 @@
     this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
         engine.replayed(state, now);
     });
+    const auto lastHeard = this->context.shared.membership.with([](const MembershipTable &table) {
+        UnavailableSlots::LastHeard times;
+        for (const auto &[name, report] : table.heard)
+            times[report.id] = report.heardAt;
+        return times;
+    });
+    this->unavailable.replayed(state, lastHeard, this->context.clock.now());
+    this->observeAllGrants();
+}
+
+void ControlLoop::observeGrants(const core::ServerName &server)
+{
+    const core::TimePoint now = this->context.clock.now();
+    const auto granted = this->context.shared.ownership.with(
+            [&](const OwnershipTable &table) { return table.engine.grantedSlots(server, now); });
+    this->unavailable.observed(server, granted, now);
+}
+
+void ControlLoop::observeAllGrants()
+{
+    for (const core::ServerName &server : this->unavailable.controlled())
+        this->observeGrants(server);
 }
 
 void ControlLoop::tailRead(core::TimePoint began)
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -9,6 +9,7 @@
 #include "log_follower.h"
 #include "server_runner.h"
 #include "tables.h"
+#include "unavailable_slots.h"
 
 #include <atomic>
 #include <functional>
@@ -97,8 +98,11 @@
                                          const std::vector<core::SlotIndex> &slots,
                                          const std::vector<std::string> &hotKeys) const;
     void recordOwnership(const decisions::SlotRecord &record);
+    void observeGrants(const core::ServerName &server);
+    void observeAllGrants();
 
     ControlContext context;
+    UnavailableSlots unavailable;
     std::function<core::Duration()> logAge;
     std::atomic<bool> stopped = false;
     std::atomic<std::uint64_t> snapshotSequence;
--- a/libs/daemon/src/operator_service.cpp
+++ b/libs/daemon/src/operator_service.cpp
@@ -172,8 +172,8 @@
         if (!mine)
             continue;
         const decisions::DispatcherLoad load = runner->load();
-        this->context.recorder.serverLoad(
-                {server->service, name, load.inFlight, load.queued, load.limit, {}});
+        this->context.recorder.serverLoad({server->service, name, load.inFlight, load.queued,
+                                           load.limit, runner->limitReason()});
     }
     return this->context.recorder.snapshot(this->context.clock.now());
 }
--- a/libs/daemon/src/server_runner.cpp
+++ b/libs/daemon/src/server_runner.cpp
@@ -139,7 +139,7 @@
     return this->state.with([now](const State &shared) { return shared.dispatcher.load(now); });
 }
 
-std::string ServerRunner::limitReason() const
+decisions::LimitReason ServerRunner::limitReason() const
 {
     const core::TimePoint now = this->context.clock.now();
     return this->state.with(
--- a/libs/daemon/src/server_runner.h
+++ b/libs/daemon/src/server_runner.h
@@ -62,7 +62,7 @@
                      std::vector<decisions::SlotMemory> &memories) const;
 
     decisions::DispatcherLoad load() const;
-    std::string limitReason() const;
+    decisions::LimitReason limitReason() const;
     bool idle() const;
     core::Endpoint endpoint() const;
     void moveTo(const core::Endpoint &address);
--- /dev/null
+++ b/libs/daemon/src/unavailable_slots.cpp
@@ -0,0 +1,166 @@
+// Begins and ends intervals of slots that are not served.
+#include "unavailable_slots.h"
+
+#include <algorithm>
+
+namespace amaranthdale::daemon {
+
+namespace {
+
+// Two heartbeats: a controller that was silent for longer had stopped before it was replaced.
+constexpr core::Duration longestSilence = std::chrono::milliseconds(200);
+
+std::vector<core::SlotIndex> slotsOwnedBy(const decisions::ClusterState &state,
+                                          const core::ServerName &server,
+                                          const core::ServiceName &serviceName)
+{
+    std::vector<core::SlotIndex> slots;
+    const decisions::ServiceState *service = state.findService(serviceName);
+    if (!service)
+        return slots;
+    for (core::SlotIndex slot = 0; slot < service->slots.size(); ++slot) {
+        if (service->slots[slot].server == server)
+            slots.push_back(slot);
+    }
+    return slots;
+}
+
+} // namespace
+
+UnavailableSlots::UnavailableSlots(report::Recorder &reportRecorder, core::InstanceId ownId)
+    : recorder(reportRecorder), self(std::move(ownId))
+{ }
+
+void UnavailableSlots::replayed(std::shared_ptr<const decisions::ClusterState> cluster,
+                                const LastHeard &lastHeard, core::TimePoint now)
+{
+    Ended ended;
+    this->state.with([&](State &shared) {
+        this->follow(shared, *cluster, lastHeard, now, ended);
+        shared.cluster = std::move(cluster);
+    });
+    this->record(ended);
+}
+
+void UnavailableSlots::follow(State &shared, const decisions::ClusterState &next,
+                              const LastHeard &lastHeard, core::TimePoint now, Ended &ended) const
+{
+    std::map<core::ServerName, Controlled> following;
+    for (const auto &[name, server] : next.servers()) {
+        if (!server.controller || server.controller->instance != this->self)
+            continue;
+        Controlled &entry = following[name];
+        entry.service = server.service;
+        const auto before = shared.controlled.find(name);
+        if (before != shared.controlled.end()) {
+            entry.silentSince = before->second.silentSince;
+            entry.observedAt = before->second.observedAt;
+        }
+        for (core::SlotIndex slot : slotsOwnedBy(next, name, server.service)) {
+            const bool known =
+                    before != shared.controlled.end() && before->second.slots.contains(slot);
+            entry.slots[slot] = known ? before->second.slots.at(slot)
+                                      : beginOf(shared, name, server, slot, lastHeard, now);
+        }
+    }
+    for (auto &[name, entry] : shared.controlled) {
+        const auto kept = following.find(name);
+        for (const auto &[slot, begin] : entry.slots) {
+            if (kept == following.end() || !kept->second.slots.contains(slot))
+                end(name, entry, slot, now, ended);
+        }
+    }
+    shared.controlled = std::move(following);
+}
+
+UnavailableSlots::Begin UnavailableSlots::beginOf(const State &shared,
+                                                  const core::ServerName &server,
+                                                  const decisions::ServerState &next,
+                                                  core::SlotIndex slot, const LastHeard &lastHeard,
+                                                  core::TimePoint now)
+{
+    const decisions::ServiceState *before =
+            shared.cluster ? shared.cluster->findService(next.service) : nullptr;
+    if (!before || slot >= before->slots.size() || before->slots[slot].server.value.empty())
+        return std::nullopt;
+    if (before->slots[slot].server != server)
+        return now;
+    const decisions::ServerState *former = shared.cluster->findServer(server);
+    if (!former || !former->controller)
+        return now;
+    const auto heard = lastHeard.find(former->controller->instance);
+    const bool died = heard != lastHeard.end() && now - heard->second > longestSilence;
+    return died ? heard->second : now;
+}
+
+std::vector<core::ServerName> UnavailableSlots::controlled() const
+{
+    return this->state.with([](const State &shared) {
+        std::vector<core::ServerName> names;
+        for (const auto &[name, entry] : shared.controlled)
+            names.push_back(name);
+        return names;
+    });
+}
+
+void UnavailableSlots::observed(const core::ServerName &server,
+                                const std::vector<core::SlotIndex> &granted, core::TimePoint now)
+{
+    Ended ended;
+    this->state.with([&](State &shared) {
+        const auto found = shared.controlled.find(server);
+        // Threads may bring observations out of order.
+        if (found == shared.controlled.end() || now < found->second.observedAt)
+            return;
+        Controlled &entry = found->second;
+        entry.observedAt = now;
+        for (auto &[slot, begin] : entry.slots) {
+            const bool served =
+                    !entry.silentSince && std::binary_search(granted.begin(), granted.end(), slot);
+            if (served)
+                end(server, entry, slot, now, ended);
+            else if (!begin)
+                begin = entry.silentSince.value_or(now);
+        }
+    });
+    this->record(ended);
+}
+
+void UnavailableSlots::queryEnded(const core::ServerName &server, bool answered,
+                                  core::TimePoint sentAt)
+{
+    this->state.with([&](State &shared) {
+        const auto found = shared.controlled.find(server);
+        if (found == shared.controlled.end())
+            return;
+        if (answered)
+            found->second.silentSince.reset();
+        else if (!found->second.silentSince)
+            found->second.silentSince = sentAt;
+    });
+}
+
+void UnavailableSlots::end(const core::ServerName &server, Controlled &entry, core::SlotIndex slot,
+                           core::TimePoint now, Ended &ended)
+{
+    Begin &begin = entry.slots.at(slot);
+    if (!begin)
+        return;
+    const auto same =
+            std::find_if(ended.begin(), ended.end(), [&](const report::SlotsUnavailable &interval) {
+                return interval.server == server && interval.begin == *begin;
+            });
+    if (same != ended.end())
+        ++same->slots;
+    else
+        ended.push_back({entry.service, server, 1, *begin, now});
+    begin.reset();
+}
+
+void UnavailableSlots::record(const Ended &ended)
+{
+    for (const report::SlotsUnavailable &interval : ended)
+        this->recorder.slotsUnavailable(interval);
+}
+
+} // namespace amaranthdale::daemon
--- a/libs/decisions/include/amaranthdale/decisions/concurrency_limit.h
+++ b/libs/decisions/include/amaranthdale/decisions/concurrency_limit.h
@@ -25,6 +25,17 @@
     unsigned requestSlots = 4;
 };
 
+/// What set the limit of a server.
+enum class LimitReason {
+    Start,          ///< Nothing has been answered since the server's start.
+    Growth,         ///< Answered requests raised it.
+    LatencyStep,    ///< Latency rose or a response is overdue, which cut it.
+    Refusals,       ///< Refusals cut it.
+    ServerReport,   ///< The server's own report lowered it.
+    RequestSlots,   ///< It stands at the server's request slots.
+    ConnectionLost, ///< A lost connection cut it.
+};
+
 /// Limit of requests in flight at one server. At least 1, at most `requestSlots`.
 class ConcurrencyLimit
 {
@@ -34,6 +45,7 @@
     virtual unsigned current(core::TimePoint now) const = 0;
     /// Why the limit has its value, in words for reports.
     virtual std::string reason(core::TimePoint now) const = 0;
+    virtual LimitReason reasonKind(core::TimePoint now) const = 0;
 
     /// `latency` is the time to the response headers, `inFlight` the number in flight with this
     /// request just before its end.
@@ -57,6 +69,7 @@
 
     unsigned current(core::TimePoint now) const override;
     std::string reason(core::TimePoint now) const override;
+    LimitReason reasonKind(core::TimePoint now) const override;
     void answered(core::Duration latency, unsigned inFlight, core::TimePoint now) override;
     void refused(core::TimePoint now) override;
     void connectionLost(core::TimePoint now) override;
@@ -73,12 +86,13 @@
     bool latencyUsual() const;
     bool latencyStepped() const;
     void growIfProven(unsigned inFlight, core::TimePoint now);
-    void cut(const char *cause, core::TimePoint now);
+    void cut(LimitReason reason, const char *text, core::TimePoint now);
     bool ceilingInForce(core::TimePoint now) const;
 
     LimitBounds bounds;
     unsigned limit;
-    const char *cause = "cold start";
+    LimitReason kind = LimitReason::Start;
+    const char *cause = "cold start"; // In words, for `kind`.
     core::TimePoint changedAt;
     core::Duration dwell;          // Least time at one value before the next step up.
     unsigned answersAtValue = 0;   // Answers at usual latency since the last change.
@@ -103,6 +117,7 @@
 
     unsigned current(core::TimePoint now) const override;
     std::string reason(core::TimePoint now) const override;
+    LimitReason reasonKind(core::TimePoint now) const override;
     void answered(core::Duration, unsigned, core::TimePoint) override { }
     void refused(core::TimePoint) override { }
     void connectionLost(core::TimePoint) override { }
--- a/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
+++ b/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
@@ -138,7 +138,7 @@
     /// See `RequestLedger::needsNewOffset`.
     bool needsNewOffset(core::TimePoint now) const { return this->ledger.needsNewOffset(now); }
     DispatcherLoad load(core::TimePoint now) const;
-    std::string limitReason(core::TimePoint now) const { return this->limit->reason(now); }
+    LimitReason limitReason(core::TimePoint now) const { return this->limit->reasonKind(now); }
 
 private:
     enum class Stage { Queued, InFlight, Attached };
--- a/libs/decisions/src/concurrency_limit.cpp
+++ b/libs/decisions/src/concurrency_limit.cpp
@@ -67,13 +67,20 @@
     return std::to_string(this->limit) + slots + this->cause;
 }
 
+LimitReason AdaptiveLimit::reasonKind(core::TimePoint now) const
+{
+    if (this->current(now) < this->limit)
+        return LimitReason::ServerReport;
+    return this->limit == this->bounds.requestSlots ? LimitReason::RequestSlots : this->kind;
+}
+
 void AdaptiveLimit::answered(core::Duration latency, unsigned inFlight, core::TimePoint now)
 {
     this->noteLatency(latency);
     if (this->latencyStepped())
-        this->cut("latency step", now);
+        this->cut(LimitReason::LatencyStep, "latency step", now);
     else if (this->elevated >= elevatedAnswers)
-        this->cut("latency above the usual", now);
+        this->cut(LimitReason::LatencyStep, "latency above the usual", now);
     else
         this->growIfProven(inFlight, now);
 }
@@ -127,18 +134,20 @@
     ++this->limit;
     this->changedAt = now;
     this->answersAtValue = 0;
+    this->kind = LimitReason::Growth;
     this->cause = "grown with answers at the usual latency";
     if (this->limit == this->bounds.requestSlots)
         this->dwell = firstDwell;
 }
 
-void AdaptiveLimit::cut(const char *newCause, core::TimePoint now)
+void AdaptiveLimit::cut(LimitReason reason, const char *text, core::TimePoint now)
 {
     const bool soonAfterStep = now - this->changedAt < this->dwell;
     if (this->limit > this->bounds.coldSlots)
         this->dwell = soonAfterStep ? std::min(this->dwell * 2, maxDwell) : firstDwell;
     this->limit = this->bounds.coldSlots;
-    this->cause = newCause;
+    this->kind = reason;
+    this->cause = text;
     this->changedAt = now;
     this->answersAtValue = 0;
     this->elevated = 0;
@@ -146,19 +155,19 @@
 
 void AdaptiveLimit::refused(core::TimePoint now)
 {
-    this->cut("the server refused a request", now);
+    this->cut(LimitReason::Refusals, "the server refused a request", now);
 }
 
 void AdaptiveLimit::connectionLost(core::TimePoint now)
 {
-    this->cut("a connection was lost", now);
+    this->cut(LimitReason::ConnectionLost, "a connection was lost", now);
 }
 
 void AdaptiveLimit::waiting(core::Duration age, core::TimePoint now)
 {
     const Milliseconds bound = std::max(this->baseline * overdueFactor, minOverdue);
     if (this->baselineSamples >= minBaselineSamples && age > bound)
-        this->cut("a response is overdue", now);
+        this->cut(LimitReason::LatencyStep, "a response is overdue", now);
 }
 
 void AdaptiveLimit::reported(const LoadReport &report, core::TimePoint now)
@@ -177,7 +186,7 @@
 
 void AdaptiveLimit::restarted(core::TimePoint now)
 {
-    this->cut("cold start", now);
+    this->cut(LimitReason::Start, "cold start", now);
     this->dwell = firstDwell;
     this->recentCount = 0;
 }
@@ -204,6 +213,14 @@
             + " slots: fixed ramp since the start";
 }
 
+LimitReason FixedRamp::reasonKind(core::TimePoint now) const
+{
+    const unsigned limit = this->current(now);
+    if (limit == this->bounds.requestSlots)
+        return LimitReason::RequestSlots;
+    return limit > this->bounds.coldSlots ? LimitReason::Growth : LimitReason::Start;
+}
+
 void FixedRamp::reported(const LoadReport &report, core::TimePoint now)
 {
     const bool known = this->incarnation != core::Incarnation();
--- a/libs/decisions/tests/load_test.cpp
+++ b/libs/decisions/tests/load_test.cpp
@@ -82,12 +82,31 @@
         limit.answered(usual * 10, 4, now);
     CHECK(limit.current(now) == 1);
     CHECK(limit.reason(now) == "1 of 4 slots: latency step");
+    CHECK(limit.reasonKind(now) == LimitReason::LatencyStep);
     now = answerFor(limit, usual * 10, seconds(30), now);
     CHECK(limit.current(now) == 1);
     now = answerFor(limit, usual, seconds(4), now);
     CHECK(limit.current(now) == 4);
 }
 
+TEST_CASE("a report tells a limit that started low from one that was cut or stands at the slots")
+{
+    AdaptiveLimit limit(fourSlots, start);
+    core::TimePoint now = start;
+    CHECK(limit.reasonKind(now) == LimitReason::Start);
+    now = answerFor(limit, usual, seconds(10), now);
+    CHECK(limit.reasonKind(now) == LimitReason::RequestSlots);
+    limit.reported({core::Incarnation(1), 4, 2.0}, now);
+    CHECK(limit.reasonKind(now) == LimitReason::ServerReport);
+    limit.refused(now);
+    limit.reported({core::Incarnation(1), 0, 0.1}, now);
+    CHECK(limit.reasonKind(now) == LimitReason::Refusals);
+    limit.connectionLost(now);
+    CHECK(limit.reasonKind(now) == LimitReason::ConnectionLost);
+    limit.restarted(now);
+    CHECK(limit.reasonKind(now) == LimitReason::Start);
+}
+
 TEST_CASE("a frozen server, which answers nothing, is cut by the age of what it holds")
 {
     AdaptiveLimit limit(fourSlots, start);
--- a/libs/report/include/amaranthdale/report/events.h
+++ b/libs/report/include/amaranthdale/report/events.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "amaranthdale/core/types.h"
+#include "amaranthdale/decisions/concurrency_limit.h"
 
 #include <string_view>
 
@@ -24,15 +25,7 @@
     Cancelled,       ///< The caller went away first.
 };
 
-/// What set the concurrency limit of a backend server.
-enum class LimitReason {
-    Start,        ///< Nothing has been answered yet.
-    Growth,       ///< Answered requests raised it.
-    LatencyStep,  ///< Latency rose, which cut it.
-    Refusals,     ///< Refusals cut it.
-    ServerReport, ///< The server's own report lowered it.
-    RequestSlots, ///< It stands at the server's request slots.
-};
+using decisions::LimitReason;
 
 /// Why slots got another owner.
 enum class OwnershipCause {
--- a/libs/report/src/names.h
+++ b/libs/report/src/names.h
@@ -29,8 +29,9 @@
 template<>
 struct EnumNames<LimitReason>
 {
-    static constexpr std::array<std::string_view, 6> names = {
-            "start", "growth", "latencyStep", "refusals", "serverReport", "requestSlots"};
+    static constexpr std::array<std::string_view, 7> names = {
+            "start",        "growth",       "latencyStep",   "refusals",
+            "serverReport", "requestSlots", "connectionLost"};
 };
 
 template<>
--- a/libs/report/tests/report_test.cpp
+++ b/libs/report/tests/report_test.cpp
@@ -50,7 +50,7 @@
                                  static_cast<NotRunReason>(*rc::gen::inRange(0, 10)),
                                  arbitraryCount()});
         part.loads.push_back({service, server, 1, 2, arbitraryCount(),
-                              static_cast<LimitReason>(*rc::gen::inRange(0, 6))});
+                              static_cast<LimitReason>(*rc::gen::inRange(0, 7))});
         part.ownership.push_back({service, server,
                                   static_cast<OwnershipCause>(*rc::gen::inRange(0, 7)), 1,
                                   arbitraryCount()});
