Put bans from the log in force

Cause: recordApplied ignored crash records, so a ban reached the crash filter by heartbeats only. Ruled out: replay keeps the ban in ClusterState, but no admission reads it there. Before: a payment with a fingerprint banned on the log is sent. After: it is refused with kind Conflict. Conclusion: a replayed ban is merged into the crash filter, at most for its ban time counted from replay.

--- a/libs/daemon/src/control_loop.cpp
+++ b/libs/daemon/src/control_loop.cpp
@@ -138,6 +138,11 @@
         if (slots->release == decisions::Release::Initial)
             this->initialAssignments.insert(offset);
         this->recordOwnership(*slots);
+    } else if (const auto *crash = std::get_if<decisions::CrashRecord>(&record.body)) {
+        const core::TimePoint now = this->context.clock.now();
+        this->context.shared.crashFilter->with([&](decisions::CrashFilter &filter) {
+            filter.mergeBan({crash->fingerprint, crash->ban}, now);
+        });
     } else if (const auto *document = std::get_if<decisions::DocumentRecord>(&record.body)) {
         this->context.recorder.documentInForce(document->document.service,
                                                document->document.objective, offset);
