Expire crash bans, and append a record when ledgers need a new offset

Cause: nothing called CrashFilter::expire, nor asked needsNewOffset, so on a log without changes a ledger filled up with ids that it could not forget. Ruled out: the engine's own records come only with changes of ownership. Before: with half of a ledger due to be forgotten, no record is appended within 1.1 s. After: one is, and its replay raises the offset and bans nothing. Conclusion: once a second, after a tick. The call of expire has no test of its own.

--- a/libs/daemon/src/control_loop.cpp
+++ b/libs/daemon/src/control_loop.cpp
@@ -2,8 +2,11 @@
 #include "control_loop.h"
 
 #include "amaranthdale/core/hash.h"
+#include "amaranthdale/records/record_codec.h"
 #include "heartbeat_codec.h"
 
+#include <algorithm>
+
 namespace amaranthdale::daemon {
 
 namespace {
@@ -11,6 +14,10 @@
 // Sequence numbers from here on belong to snapshots, below to the ownership engine.
 constexpr std::uint64_t firstSnapshotSequence = std::uint64_t(1) << 62;
 
+// Bans and retention of ids last minutes.
+constexpr core::Duration maintenanceInterval = std::chrono::seconds(1);
+constexpr core::Duration offsetAppendTimeout = std::chrono::seconds(1);
+
 } // namespace
 
 ControlLoop::ControlLoop(ControlContext controlContext)
@@ -86,9 +93,41 @@
         }
         this->tell(
                 [](decisions::OwnershipEngine &engine, core::TimePoint now) { engine.tick(now); });
+        this->maintain();
     });
 }
 
+void ControlLoop::maintain()
+{
+    const core::TimePoint now = this->context.clock.now();
+    if (now - this->maintainedAt.load() < maintenanceInterval)
+        return;
+    this->maintainedAt = now;
+    this->context.shared.crashFilter->with(
+            [now](decisions::CrashFilter &filter) { filter.expire(now); });
+    const auto runners =
+            this->context.shared.runners.with([](const RunnerMap &map) { return map; });
+    const bool blocked = std::any_of(runners.begin(), runners.end(), [](const auto &entry) {
+        return entry.second->needsNewOffset();
+    });
+    if (blocked)
+        this->appendForNewOffset();
+}
+
+void ControlLoop::appendForNewOffset()
+{
+    // A ban of no length bans nothing. All these records share one fingerprint and so one entry of
+    // the state, and none can make another proposal fail; a snapshot would be far larger.
+    decisions::LogRecord record;
+    record.id = {this->context.self, this->snapshotSequence++};
+    record.basedOn = this->context.shared.state()->offset();
+    record.body = decisions::CrashRecord{0, core::Duration::zero()};
+    this->context.logService.append(records::encodeRecord(record), offsetAppendTimeout,
+                                    [](const core::Outcome<core::LogOffset> &) {
+                                        // The next interval asks again while it is needed.
+                                    });
+}
+
 peer::HeartbeatReply ControlLoop::heartbeatReceived(const peer::Heartbeat &heartbeat)
 {
     const core::TimePoint now = this->context.clock.now();
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -69,6 +69,8 @@
 
     void tell(const Fact &fact);
     void performAll();
+    void maintain();
+    void appendForNewOffset();
     void arm(core::TimePoint wakeup);
 
     void perform(const decisions::ProbeServer &action);
@@ -113,6 +115,8 @@
     std::mutex hotKeyMutex; // A leaf: nothing is called under it.
     std::map<core::ServerName, std::set<std::string>> movingHotKeys;
 
+    std::atomic<core::TimePoint> maintainedAt{core::TimePoint()};
+
     std::mutex timerMutex; // A leaf: only the clock is called under it.
     clock::TimerId timer = 0;
     core::TimePoint timerAt = core::TimePoint::max();
--- a/libs/daemon/src/server_runner.cpp
+++ b/libs/daemon/src/server_runner.cpp
@@ -151,6 +151,13 @@
     return this->state.with([](const State &shared) { return shared.runs.empty(); });
 }
 
+bool ServerRunner::needsNewOffset() const
+{
+    const core::TimePoint now = this->context.clock.now();
+    return this->state.with(
+            [now](const State &shared) { return shared.dispatcher.needsNewOffset(now); });
+}
+
 core::Endpoint ServerRunner::endpoint() const
 {
     return this->state.with([](const State &shared) { return shared.endpoint; });
--- a/libs/daemon/src/server_runner.h
+++ b/libs/daemon/src/server_runner.h
@@ -64,6 +64,8 @@
     decisions::DispatcherLoad load() const;
     std::string limitReason() const;
     bool idle() const;
+    /// See `RequestLedger::needsNewOffset`.
+    bool needsNewOffset() const;
     core::Endpoint endpoint() const;
     void moveTo(const core::Endpoint &address);
 
