Test the control loop

Guards the mapping of append outcomes, ledgers after initial assignments and takeovers, a lost control, the limit of promises, strikes on another incarnation, new offsets for full ledgers and bans from the log.

--- /dev/null
+++ b/libs/daemon/tests/control_loop_test.cpp
@@ -0,0 +1,281 @@
+// Tests of the control loop: each guards a way to lose or repeat an append, to run an id twice
+// after a change of owner, or to send under authority that has ended.
+#include "control_loop.h"
+#include "daemon_fixtures.h"
+
+#include "amaranthdale/clock/manual_clock.h"
+#include "amaranthdale/decisions/authority_policy.h"
+#include "amaranthdale/decisions/placement.h"
+#include "amaranthdale/log/capturing_log.h"
+#include "amaranthdale/records/record_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthdale;
+using namespace amaranthdale::daemon;
+using namespace amaranthdale::daemon::test;
+using core::Error;
+using core::ErrorKind;
+using core::LogOffset;
+using decisions::RunOutcome;
+
+namespace {
+
+const core::InstanceId self{core::InstanceName("i1"), core::Incarnation(11)};
+const core::InstanceId other{core::InstanceName("i2"), core::Incarnation(22)};
+const core::ServerName server("till-1");
+
+// One instance alone with one server, and the log, the list and the server played by the test.
+struct Fixture
+{
+    clock::ManualClock clock;
+    FakeSender backends;
+    FakeSender peers;
+    FakeLog service;
+    log::CapturingLog log;
+    report::Recorder recorder{{}};
+    Tables tables{
+            decisions::OwnershipSettings{{self, core::DataCentreName("gasabo"), false}, 1, {}},
+            std::make_unique<decisions::NamedSuccessorAuthority>(decisions::OwnershipTimings{}),
+            std::make_unique<decisions::RendezvousPlacement>(), this->clock.now()};
+    ControlLoop loop{ControlContext{this->tables, this->clock, this->backends, this->peers,
+                                    this->service, this->log, this->recorder, self,
+                                    milliseconds(300)}};
+    decisions::ClusterState state;
+    std::uint64_t incarnation = 7; // Of the server.
+
+    Fixture()
+    {
+        decisions::ServiceDocument document;
+        document.service = core::ServiceName("till");
+        document.hashSlots = 4;
+        decisions::BackendServer spec;
+        spec.name = server;
+        spec.dataCentre = core::DataCentreName("kicukiro");
+        document.servers.push_back(spec);
+        this->replay({{other, 1}, {}, decisions::DocumentRecord{document}});
+        this->loop.start();
+    }
+
+    void replay(const decisions::LogRecord &record)
+    {
+        const LogOffset offset(this->state.offset().value + 1);
+        const decisions::Applied applied = this->state.apply(offset, record);
+        const auto pointer = std::make_shared<const decisions::ClusterState>(this->state);
+        this->tables.configuration.with([&](StatePointer &current) { current = pointer; });
+        this->loop.recordApplied(offset, record, applied);
+        this->loop.replayed(pointer);
+    }
+
+    void answerServer()
+    {
+        while (!this->backends.sent.empty()) {
+            auto sent = std::move(this->backends.sent.front());
+            this->backends.sent.pop_front();
+            if (sent.request.target.starts_with("/-/"))
+                sent.respond(core::makeResponse(
+                        200,
+                        R"({"incarnation":)" + std::to_string(this->incarnation)
+                                + R"(,"epoch":0,"nowMs":5000,"inFlight":0,"load":0})"));
+            else
+                this->requests.push_back(std::move(sent));
+        }
+    }
+
+    // Passes time in which the list and the log's tail are read and the server answers.
+    void pass(core::Duration time, bool logReadable = true)
+    {
+        for (core::Duration passed{}; passed < time; passed += milliseconds(10)) {
+            this->loop.instancesListed({{self, core::DataCentreName("gasabo"), {}, false}});
+            if (logReadable)
+                this->loop.tailRead(this->clock.now());
+            this->clock.advance(milliseconds(10));
+            this->answerServer();
+        }
+    }
+
+    decisions::LogRecord appended(std::size_t index) const
+    {
+        auto decoded = records::decodeRecord(this->service.appends.at(index).body);
+        REQUIRE(decoded);
+        return *decoded;
+    }
+
+    // Answers and replays appends until the server's slots are granted.
+    void settle()
+    {
+        for (int round = 0; round < 200; ++round) {
+            this->pass(milliseconds(10));
+            while (!this->service.appends.empty()) {
+                const decisions::LogRecord record = this->appended(0);
+                auto append = std::move(this->service.appends.front());
+                this->service.appends.pop_front();
+                append.answer(LogOffset(this->state.offset().value + 1));
+                this->replay(record);
+            }
+        }
+        REQUIRE(this->loop.maySend(this->payment("probe")));
+    }
+
+    ForwardRequest payment(const std::string &id) const
+    {
+        ForwardRequest request;
+        request.server = server;
+        request.info.id = core::RequestId(id);
+        request.info.origin = decisions::IdOrigin::Caller;
+        request.info.slot = 2;
+        request.info.fingerprint = 77;
+        request.info.deadline = this->clock.now() + seconds(2);
+        request.ownerOnly = true;
+        request.request = {"POST", "/till/pay", {}, ""};
+        return request;
+    }
+
+    std::optional<ForwardResult> result;
+    std::deque<FakeSender::Sent> requests; // That reached the server.
+
+    void pay(const std::string &id)
+    {
+        const auto runner = this->tables.runner(server);
+        REQUIRE(runner);
+        runner->submit(this->payment(id),
+                       [this](ForwardResult ended) { this->result = std::move(ended); });
+        this->answerServer();
+    }
+};
+
+} // namespace
+
+TEST_CASE("an append that certainly failed may be replaced, one with open outcome is repeated "
+          "under the same id, and an answered one isn't repeated")
+{
+    Fixture fixture;
+    fixture.pass(seconds(1));
+    REQUIRE(fixture.service.appends.size() == 1);
+    const decisions::LogRecord first = fixture.appended(0);
+    fixture.service.appends[0].answer(Error{ErrorKind::Timeout, "lost"});
+    CHECK(fixture.log.count("append-failed") == 1);
+    fixture.pass(seconds(1));
+    REQUIRE(fixture.service.appends.size() == 2);
+    CHECK(fixture.appended(1) == first);
+    fixture.service.appends[1].answer(LogOffset(2));
+    fixture.pass(seconds(1));
+    CHECK(fixture.service.appends.size() == 2);
+
+    Fixture failing;
+    failing.pass(seconds(1));
+    REQUIRE(failing.service.appends.size() == 1);
+    failing.service.appends[0].answer(Error{ErrorKind::Unavailable, "down"});
+    failing.pass(seconds(1));
+    REQUIRE(failing.service.appends.size() == 2);
+    CHECK(failing.appended(1).id != failing.appended(0).id);
+}
+
+TEST_CASE("a caller's own id is new after an initial assignment, and unknown after a takeover, "
+          "when an earlier controller may have run it")
+{
+    Fixture fresh;
+    fresh.settle();
+    fresh.pay("mine");
+    CHECK(fresh.requests.size() == 1);
+
+    Fixture taken;
+    taken.replay({{other, 2}, LogOffset(1), decisions::ControllerRecord{server, other, {self}}});
+    taken.replay({{other, 3},
+                  LogOffset(2),
+                  decisions::SlotRecord{core::ServiceName("till"),
+                                        {},
+                                        {},
+                                        decisions::Release::Initial,
+                                        {{server, {0, 1, 2, 3}, {}}}}});
+    taken.settle();
+    taken.pay("mine");
+    CHECK(taken.requests.empty());
+    REQUIRE(taken.result.has_value());
+    CHECK(taken.result->outcome == RunOutcome::Unknown);
+}
+
+TEST_CASE("a lost control refuses what is queued and sends nothing more")
+{
+    Fixture fixture;
+    fixture.settle();
+    fixture.pay("p1");
+    fixture.pay("p2"); // A cold server runs one request at a time.
+    REQUIRE(fixture.requests.size() == 1);
+    CHECK_FALSE(fixture.result.has_value());
+    const LogOffset offset = fixture.state.offset();
+    fixture.replay({{other, 9}, offset, decisions::ControllerRecord{server, other, {self}, true}});
+    REQUIRE(fixture.result.has_value());
+    CHECK(fixture.result->outcome == RunOutcome::NotRun);
+    CHECK(fixture.result->refusal.kind == ErrorKind::Fenced);
+    CHECK_FALSE(fixture.loop.mayServe(server));
+}
+
+TEST_CASE("authority by promises alone ends at its limit, and what arrives then is not sent")
+{
+    Fixture fixture;
+    fixture.settle();
+    // No successor is named, so only an abandoned change, which waits out this limit, can follow.
+    fixture.pass(decisions::OwnershipTimings().promiseLimit + seconds(1), false);
+    fixture.pay("p1");
+    CHECK(fixture.requests.empty());
+    REQUIRE(fixture.result.has_value());
+    CHECK(fixture.result->outcome == RunOutcome::NotRun);
+}
+
+TEST_CASE("a server's answer under another incarnation gives what was in flight a strike")
+{
+    Fixture fixture;
+    fixture.settle();
+    fixture.pay("p1");
+    fixture.incarnation = 8;
+    fixture.pass(milliseconds(300));
+    const auto strikes =
+            fixture.tables.crashFilter->with([&](const decisions::CrashFilter &filter) {
+                return filter.strikes(fixture.clock.now());
+            });
+    REQUIRE(strikes.size() == 1);
+    CHECK(strikes[0].fingerprint == 77);
+    CHECK(strikes[0].incarnation == core::Incarnation(7));
+}
+
+TEST_CASE("a ledger that can forget nothing because the log stands still gets a new offset")
+{
+    Fixture fixture;
+    fixture.settle();
+    const std::string offset = std::to_string(fixture.state.offset().value);
+    decisions::SlotMemory memory;
+    memory.slot = 2;
+    memory.knownSince = LogOffset(1);
+    for (std::size_t count = 0; count <= decisions::LedgerOptions().maxEntries / 2; ++count) {
+        const std::string digits = std::to_string(count);
+        memory.entries.push_back(
+                {"amd-" + offset + "-" + std::string(32 - digits.size(), '0') + digits,
+                 decisions::EntryState::Unknown, 1, std::chrono::minutes(3), nullptr});
+    }
+    fixture.tables.runner(server)->decide(
+            [&](decisions::ServerDispatcher &dispatcher, core::TimePoint now) {
+                REQUIRE(dispatcher.importSlot(memory, now));
+                return decisions::Actions();
+            });
+    fixture.pass(milliseconds(1100));
+    REQUIRE(fixture.service.appends.size() >= 1);
+    CHECK(fixture.service.appends.size() <= 2);
+    const decisions::LogRecord record = fixture.appended(0);
+    fixture.replay(record);
+    CHECK(std::to_string(fixture.state.offset().value) != offset);
+    CHECK(fixture.tables.crashFilter->with([&](const decisions::CrashFilter &filter) {
+        return filter.bans(fixture.clock.now()).empty();
+    }));
+}
+
+TEST_CASE("a ban on the log is in force here as well, so that no third server is lost to a request")
+{
+    Fixture fixture;
+    fixture.settle();
+    fixture.replay({{other, 9}, fixture.state.offset(), decisions::CrashRecord{77, seconds(60)}});
+    fixture.pay("p1");
+    CHECK(fixture.requests.empty());
+    REQUIRE(fixture.result.has_value());
+    CHECK(fixture.result->refusal.kind == ErrorKind::Conflict);
+}
