Search for owners of removed servers only after a removal

Cause: after each assignment, replay searched all slots of all services for owners of removed servers, even when no server was removed. Ruled out: the assignment itself; only this search was changed between runs.

--- a/libs/decisions/src/cluster_state.cpp
+++ b/libs/decisions/src/cluster_state.cpp
@@ -166,6 +166,11 @@
 
 void ClusterState::forgetRemovedServers()
 {
+    // Follows each assignment; the search through all slots is needed only after a removal.
+    const bool anyRemoved = std::any_of(this->serverTable.begin(), this->serverTable.end(),
+                                        [](const auto &entry) { return entry.second.removed; });
+    if (!anyRemoved)
+        return;
     std::set<core::ServerName> owners;
     for (const auto &[name, service] : this->serviceTable) {
         for (const SlotOwner &owner : service.slots)
