Make ledgers follow slots and servers, and only when they are final

The request for a ledger did not name the server under which it was kept, so another server's ledger of the same slot could answer in its place; after a planned takeover no ledger was fetched at all; and the former controller answered before it had replayed the change. An instance that lost and regained a server in one read of the log also kept the ledger of the time before. Change: the request names server and record; the former controller answers only once it has replayed the record and may send nothing more, and is asked again until then; regained servers start with empty ledgers. Also: the backend stand-in times grants under its lock; two at once could stand in the history in the wrong order, which the checker reported as two owners in 1 of 3 runs. Ruled out: copying ids to successors before each payment, one more round trip on every payment.

--- a/fuzz/control_messages.cpp
+++ b/fuzz/control_messages.cpp
@@ -40,7 +40,8 @@
     reply.sender = heartbeat.sender;
     reply.promises.push_back(
             {{core::ServerName("till-1"), core::Epoch(90)}, std::chrono::milliseconds(300)});
-    const peer::LedgerRequest request{core::ServiceName("till"), {1, 2, 900}, core::LogOffset(5)};
+    const peer::LedgerRequest request{
+            core::ServerName("till-1"), core::ServiceName("till"), {1, 2, 900}, core::LogOffset(5)};
     peer::LedgerReply ledger;
     peer::LedgerEntry entry;
     entry.slot = 2;
--- a/libs/daemon/src/control_actions.cpp
+++ b/libs/daemon/src/control_actions.cpp
@@ -7,6 +7,8 @@
 #include "heartbeat_codec.h"
 #include "server_protocol.h"
 
+#include <algorithm>
+
 namespace amaranthdale::daemon {
 
 namespace {
@@ -17,6 +19,9 @@
 constexpr core::Duration serverTimeout = std::chrono::milliseconds(100);
 constexpr core::Duration heartbeatTimeout = std::chrono::milliseconds(200);
 constexpr core::Duration ledgerTimeout = std::chrono::milliseconds(500);
+// The former controller replays the record within a long poll of the log.
+constexpr core::Duration ledgerRetryDelay = std::chrono::milliseconds(5);
+constexpr unsigned mostLedgerAttempts = 40;
 constexpr std::size_t largestAnswer = 64 * 1024;
 constexpr std::size_t largestLedger = 32 * 1024 * 1024;
 
@@ -184,6 +189,11 @@
 }
 
 void ControlLoop::perform(const decisions::FetchLedger &action)
+{
+    this->fetchLedger(action, 1);
+}
+
+void ControlLoop::fetchLedger(const decisions::FetchLedger &action, unsigned attempt)
 {
     const auto endpoint = this->context.shared.membership.with(
             [&](const MembershipTable &table) -> std::optional<core::Endpoint> {
@@ -197,8 +207,10 @@
     if (!endpoint || !server)
         return;
     peer::LedgerRequest message;
+    message.server = action.source;
     message.service = server->service;
     message.slots = this->slotsOf(action.server, action.slots, action.hotKeys);
+    message.offset = action.since;
     core::HttpRequest request;
     request.method = "POST";
     request.target = ledgerPath;
@@ -208,29 +220,60 @@
     request.body = *encoded;
     this->context.peers.send(
             *endpoint, std::move(request), ledgerTimeout,
-            [this, name = action.server](core::Outcome<core::HttpResponse> response) {
-                if (!response || response->status != 200)
-                    return;
-                core::readWholeBody(
-                        response->body, largestLedger,
-                        [this, name](core::Outcome<std::string> body) {
-                            if (!body)
-                                return;
-                            const auto reply =
-                                    core::attempt([&] { return peer::decodeLedgerReply(*body); });
-                            const auto runner = this->context.shared.runner(name);
-                            if (!reply || !runner)
-                                return;
-                            runner->decide([&](decisions::ServerDispatcher &dispatcher,
-                                               core::TimePoint now) {
-                                for (const decisions::SlotMemory &memory : toMemories(*reply))
-                                    dispatcher.importSlot(memory, now);
-                                return decisions::Actions();
-                            });
-                        });
+            [this, action, attempt](core::Outcome<core::HttpResponse> response) {
+                if (!response)
+                    return this->ledgerAnswered(action, attempt, response.error());
+                if (response->status != 200)
+                    return this->ledgerAnswered(
+                            action, attempt,
+                            core::Error{core::ErrorKind::Conflict, "the ledger is not final yet"});
+                core::readWholeBody(response->body, largestLedger,
+                                    [this, action, attempt](core::Outcome<std::string> body) {
+                                        this->ledgerAnswered(action, attempt, body);
+                                    });
             });
 }
 
+void ControlLoop::ledgerAnswered(const decisions::FetchLedger &action, unsigned attempt,
+                                 const core::Outcome<std::string> &body)
+{
+    if (!body) {
+        if (attempt < mostLedgerAttempts && !this->stopped)
+            this->context.clock.schedule(
+                    this->context.clock.now() + ledgerRetryDelay,
+                    [this, action, attempt] { this->fetchLedger(action, attempt + 1); });
+        else
+            this->context.log.write(log::Severity::Info, "ledger-not-fetched",
+                                    {{"server", action.server.value},
+                                     {"from", action.from.name.value},
+                                     {"message", body.error().message}});
+        return;
+    }
+    const auto reply = core::attempt([&] { return peer::decodeLedgerReply(*body); });
+    const auto runner = this->context.shared.runner(action.server);
+    if (!reply || !runner)
+        return;
+    runner->decide([&](decisions::ServerDispatcher &dispatcher, core::TimePoint now) {
+        for (const decisions::SlotMemory &memory : toMemories(*reply))
+            dispatcher.importSlot(memory, now);
+        return decisions::Actions();
+    });
+}
+
+bool ControlLoop::ledgerIsFinal(const core::ServerName &server,
+                                const std::vector<core::SlotIndex> &slots,
+                                core::LogOffset offset) const
+{
+    if (this->context.shared.state()->offset() < offset)
+        return false;
+    const core::TimePoint now = this->context.clock.now();
+    return this->context.shared.ownership.with([&](const OwnershipTable &table) {
+        return std::none_of(slots.begin(), slots.end(), [&](core::SlotIndex slot) {
+            return table.engine.mayServeSlot(server, slot, now).has_value();
+        });
+    });
+}
+
 void ControlLoop::perform(const decisions::WriteSnapshot &)
 {
     const StatePointer state = this->context.shared.state();
--- a/libs/daemon/src/control_loop.cpp
+++ b/libs/daemon/src/control_loop.cpp
@@ -187,6 +187,9 @@
         this->context.recorder.documentInForce(document->document.service,
                                                document->document.objective, offset);
     }
+    if (const auto *control = std::get_if<decisions::ControllerRecord>(&record.body);
+        control && applied.accepted)
+        this->followControl(*control, offset);
     if (record.id.proposer != this->context.self || record.id.sequence >= firstSnapshotSequence)
         return;
     this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -48,6 +48,11 @@
 
     void instancesListed(const std::vector<platform::ListedInstance> &instances);
 
+    /// True when this instance replayed the log up to `offset` and may send nothing for the slots
+    /// under `server` any more, so that its ledger of them is complete.
+    bool ledgerIsFinal(const core::ServerName &server, const std::vector<core::SlotIndex> &slots,
+                       core::LogOffset offset) const;
+
     /// Begins to hand over all controlled servers.
     void leave();
     bool hasLeft() const;
@@ -85,6 +90,9 @@
     void perform(const decisions::FetchLedger &action);
     void perform(const decisions::WriteSnapshot &action);
 
+    void fetchLedger(const decisions::FetchLedger &action, unsigned attempt);
+    void ledgerAnswered(const decisions::FetchLedger &action, unsigned attempt,
+                        const core::Outcome<std::string> &body);
     void askServer(const core::ServerName &server, core::HttpRequest request, core::Fence fence);
     void serverResponded(decisions::ServerAnswer answer, const core::Outcome<std::string> &body,
                          unsigned status);
@@ -95,6 +103,7 @@
     void updateSlots(ServerRunner &runner, const decisions::ServiceState &service,
                      const core::ServerName &name, core::Epoch epoch);
     void resumeAfterHotKeyMoves(const decisions::ClusterState &clusterState);
+    void followControl(const decisions::ControllerRecord &record, core::LogOffset offset);
     void dropRunners(const decisions::ClusterState &clusterState);
     std::vector<core::SlotIndex> slotsOf(const core::ServerName &server,
                                          const std::vector<core::SlotIndex> &slots,
@@ -112,6 +121,10 @@
     // Offset from which the ledger of each started slot counts, by server. Replay only.
     using StartedSlots = std::map<core::SlotIndex, core::LogOffset>;
     std::map<core::ServerName, StartedSlots> startedSlots;
+    // Epoch of each server that this instance controls, and those among them that another instance
+    // controlled since the runner's ledgers were filled. Replay only.
+    std::map<core::ServerName, core::Epoch> controlled;
+    std::set<core::ServerName> regained;
     // Records that assigned slots which had no owner before, so that their ledgers are complete.
     // Replay only.
     std::set<core::LogOffset> initialAssignments;
--- a/libs/daemon/src/control_runners.cpp
+++ b/libs/daemon/src/control_runners.cpp
@@ -24,6 +24,17 @@
 
 } // namespace
 
+void ControlLoop::followControl(const decisions::ControllerRecord &record, core::LogOffset offset)
+{
+    if (record.controller != this->context.self) {
+        this->controlled.erase(record.server);
+        return;
+    }
+    if (!this->controlled.contains(record.server))
+        this->regained.insert(record.server);
+    this->controlled[record.server] = core::Epoch(offset.value);
+}
+
 void ControlLoop::updateRunners(const StatePointer &clusterState)
 {
     for (const auto &[name, server] : clusterState->servers()) {
@@ -53,6 +64,14 @@
                                 {{"server", name.value},
                                  {"epoch", std::to_string(server.controller->epoch.value)}});
     }
+    // Ledgers of an earlier period of control lack what another instance ran since.
+    const core::Epoch epoch = server.controller->epoch;
+    const bool continuous = this->regained.erase(name) == 0 && this->controlled[name] == epoch;
+    if (!continuous) {
+        runner->forgetLedgers();
+        this->startedSlots.erase(name);
+    }
+    this->controlled[name] = epoch;
     runner->moveTo(server.spec.endpoint);
     runner->decide([&](decisions::ServerDispatcher &dispatcher, core::TimePoint now) {
         dispatcher.replayed(clusterState.offset(), now);
@@ -102,7 +121,9 @@
     std::vector<std::pair<core::ServerName, std::string>> moved;
     {
         std::lock_guard lock(this->hotKeyMutex);
-        for (auto &[server, keys] : this->movingHotKeys) {
+        for (auto &entry : this->movingHotKeys) {
+            const core::ServerName &server = entry.first;
+            std::set<std::string> &keys = entry.second;
             const decisions::ServerState *known = clusterState.findServer(server);
             const decisions::ServiceState *service =
                     known ? clusterState.findService(known->service) : nullptr;
--- a/libs/daemon/src/peer_service.cpp
+++ b/libs/daemon/src/peer_service.cpp
@@ -81,14 +81,12 @@
     const auto message = core::attempt([&] { return peer::decodeLedgerRequest(request.body); });
     if (!message)
         return protocolError(message.error());
+    if (!this->control.ledgerIsFinal(message->server, message->slots, message->offset))
+        return core::makeResponse(409, "this instance has not replayed the change; ask again",
+                                  "text/plain");
     std::vector<decisions::SlotMemory> memories;
-    const auto runners = this->shared.runners.with([](const RunnerMap &map) { return map; });
-    const StatePointer state = this->shared.state();
-    for (const auto &[name, runner] : runners) {
-        const decisions::ServerState *server = state->findServer(name);
-        if (server && server->service == message->service)
-            runner->exportSlots(message->slots, memories);
-    }
+    if (const auto runner = this->shared.runner(message->server))
+        runner->exportSlots(message->slots, memories);
     const peer::LedgerReply reply = toMessage(memories);
     return encodedResponse(core::attempt([&] { return peer::encodeLedgerReply(reply); }));
 }
--- a/libs/daemon/src/server_runner.cpp
+++ b/libs/daemon/src/server_runner.cpp
@@ -393,6 +393,14 @@
     }));
 }
 
+void ServerRunner::forgetLedgers()
+{
+    this->decide([](ServerDispatcher &dispatcher, core::TimePoint now) {
+        return dispatcher.dropAllSlots(now);
+    });
+    this->state.with([](State &shared) { shared.retired.clear(); });
+}
+
 void ServerRunner::exportSlots(const std::vector<core::SlotIndex> &slots,
                                std::vector<decisions::SlotMemory> &memories) const
 {
--- a/libs/daemon/src/server_runner.h
+++ b/libs/daemon/src/server_runner.h
@@ -57,6 +57,9 @@
     /// Drops a slot that moved away, and keeps its ledger for a while for the next controller.
     void retireSlot(core::SlotIndex slot);
 
+    /// Drops all slots with their ledgers, the retired ones included.
+    void forgetLedgers();
+
     /// Adds the ledgers of those of `slots` that this runner has, or had until recently.
     void exportSlots(const std::vector<core::SlotIndex> &slots,
                      std::vector<decisions::SlotMemory> &memories) const;
--- a/libs/daemon/tests/control_loop_test.cpp
+++ b/libs/daemon/tests/control_loop_test.cpp
@@ -49,6 +49,8 @@
         decisions::ServiceDocument document;
         document.service = core::ServiceName("till");
         document.hashSlots = 4;
+        // Longer than the wait after an abandoned change, so that tests can tell both apart.
+        document.idempotencyWindow = std::chrono::hours(1);
         decisions::BackendServer spec;
         spec.name = server;
         spec.dataCentre = core::DataCentreName("kicukiro");
@@ -57,13 +59,18 @@
         this->loop.start();
     }
 
-    void replay(const decisions::LogRecord &record)
+    void replay(const decisions::LogRecord &record) { this->replay(std::vector{record}); }
+
+    // Replays records that one read of the log returned.
+    void replay(const std::vector<decisions::LogRecord> &batch)
     {
-        const LogOffset offset(this->state.offset().value + 1);
-        const decisions::Applied applied = this->state.apply(offset, record);
+        for (const decisions::LogRecord &record : batch) {
+            const LogOffset offset(this->state.offset().value + 1);
+            const decisions::Applied applied = this->state.apply(offset, record);
+            this->loop.recordApplied(offset, record, applied);
+        }
         const auto pointer = std::make_shared<const decisions::ClusterState>(this->state);
         this->tables.configuration.with([&](StatePointer &current) { current = pointer; });
-        this->loop.recordApplied(offset, record, applied);
         this->loop.replayed(pointer);
     }
 
@@ -211,6 +218,36 @@
     CHECK_FALSE(fixture.loop.mayServe(server));
 }
 
+TEST_CASE("control that another instance had in between, seen in one read, makes its ids unknown")
+{
+    Fixture fixture;
+    fixture.settle();
+    const LogOffset offset = fixture.state.offset();
+    fixture.replay(std::vector<decisions::LogRecord>{
+            {{other, 9}, offset, decisions::ControllerRecord{server, other, {self}, true}},
+            {{other, 10},
+             LogOffset(offset.value + 1),
+             decisions::ControllerRecord{server, self, {other}}}});
+    fixture.settle();
+    fixture.pass(decisions::OwnershipTimings().promiseLimit + seconds(1));
+    fixture.pay("run by the other instance");
+    CHECK(fixture.requests.empty());
+    REQUIRE(fixture.result.has_value());
+    CHECK(fixture.result->outcome == RunOutcome::Unknown);
+}
+
+TEST_CASE("a ledger is final only when the change is replayed and nothing more may be sent")
+{
+    Fixture fixture;
+    fixture.settle();
+    const LogOffset offset = fixture.state.offset();
+    CHECK_FALSE(fixture.loop.ledgerIsFinal(server, {0}, offset));
+    const LogOffset next(offset.value + 1);
+    CHECK_FALSE(fixture.loop.ledgerIsFinal(server, {0}, next));
+    fixture.replay({{other, 9}, offset, decisions::ControllerRecord{server, other, {self}, true}});
+    CHECK(fixture.loop.ledgerIsFinal(server, {0}, next));
+}
+
 TEST_CASE("authority by promises alone ends at its limit, and what arrives then is not sent")
 {
     Fixture fixture;
--- a/libs/daemon/tests/forward_codec_test.cpp
+++ b/libs/daemon/tests/forward_codec_test.cpp
@@ -203,7 +203,9 @@
             {"amd-remaining-us", "18446744073709551615"},
             {"amd-remaining-us", "9223372036854775807"},
     };
-    for (const auto &[name, value] : hostile) {
+    for (const auto &header : hostile) {
+        const auto name = header.first;
+        const auto value = header.second;
         CAPTURE(name);
         CAPTURE(value);
         core::HttpRequest message = encodeForward(payment(), sentAt);
--- a/libs/decisions/include/amaranthdale/decisions/ownership_messages.h
+++ b/libs/decisions/include/amaranthdale/decisions/ownership_messages.h
@@ -139,11 +139,14 @@
     core::ServerName server;
 };
 
-/// Asks the former controller for the ledger entries of slots that moved to `server`.
+/// Asks the former controller for the ledger entries of slots that moved to `server`, or of all
+/// slots of a server that this instance controls now.
 struct FetchLedger
 {
     core::InstanceId from;
-    core::ServerName server;
+    core::ServerName source; ///< Server under which `from` kept the ledger.
+    core::ServerName server; ///< Server that has the slots now.
+    core::LogOffset since; ///< Record of the change; `from` sends nothing more once it replayed it.
     std::vector<core::SlotIndex> slots;
     std::vector<std::string> hotKeys;
 };
--- a/libs/decisions/include/amaranthdale/decisions/request_ledger.h
+++ b/libs/decisions/include/amaranthdale/decisions/request_ledger.h
@@ -89,6 +89,7 @@
                    core::TimePoint now);
     void dropSlot(core::SlotIndex slot);
     bool ownsSlot(core::SlotIndex slot) const;
+    std::vector<core::SlotIndex> ownedSlots() const;
 
     /// This instance has replayed the log up to `offset`. Offsets never go back.
     void replayed(core::LogOffset offset, core::TimePoint now);
--- a/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
+++ b/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
@@ -134,6 +134,7 @@
     bool importSlot(const SlotMemory &memory, core::TimePoint now);
     /// The slot moved away. Its queued requests are refused; what is in flight still completes.
     Actions dropSlot(core::SlotIndex slot, core::TimePoint now);
+    Actions dropAllSlots(core::TimePoint now);
 
     /// See `RequestLedger::needsNewOffset`.
     bool needsNewOffset(core::TimePoint now) const { return this->ledger.needsNewOffset(now); }
--- a/libs/decisions/src/dispatcher_control.cpp
+++ b/libs/decisions/src/dispatcher_control.cpp
@@ -214,6 +214,16 @@
     return this->ledger.importSlot(memory, now);
 }
 
+Actions ServerDispatcher::dropAllSlots(core::TimePoint now)
+{
+    Actions actions;
+    for (const core::SlotIndex slot : this->ledger.ownedSlots()) {
+        Actions dropped = this->dropSlot(slot, now);
+        std::move(dropped.begin(), dropped.end(), std::back_inserter(actions));
+    }
+    return actions;
+}
+
 Actions ServerDispatcher::dropSlot(core::SlotIndex slot, core::TimePoint now)
 {
     Actions actions;
--- a/libs/decisions/src/ownership_control.cpp
+++ b/libs/decisions/src/ownership_control.cpp
@@ -109,6 +109,22 @@
                                          this->timesFor(server, now)));
 }
 
+// A former controller that still runs, as in a planned shutdown, knows the ids of its servers.
+void OwnershipEngine::State::fetchLedgersOfTakeovers(const ClusterState &before)
+{
+    for (const auto &[name, keys] : this->owned) {
+        const ServerState *earlier = before.findServer(name);
+        const ServerState *present = this->cluster->findServer(name);
+        const bool takenOver = earlier && earlier->controller
+                && earlier->controller->instance != present->controller->instance;
+        if (takenOver)
+            this->actions.emplace_back(
+                    FetchLedger{earlier->controller->instance, name, name,
+                                core::LogOffset(present->controller->epoch.value), keys.slotList(),
+                                keys.hotKeyList()});
+    }
+}
+
 void OwnershipEngine::State::followOwners(const ClusterState *before, core::TimePoint)
 {
     this->owned.clear();
@@ -135,9 +151,11 @@
         const ServerState *source = before->findServer(path.first);
         // Also from this instance itself: each server has a ledger of its own.
         if (source && source->controller)
-            this->actions.emplace_back(FetchLedger{source->controller->instance, path.second,
+            this->actions.emplace_back(FetchLedger{source->controller->instance, path.first,
+                                                   path.second, this->cluster->offset(),
                                                    keys.slotList(), keys.hotKeyList()});
     }
+    this->fetchLedgersOfTakeovers(*before);
 }
 
 std::optional<core::TimePoint> OwnershipEngine::State::authorityUntil(
--- a/libs/decisions/src/ownership_state.h
+++ b/libs/decisions/src/ownership_state.h
@@ -54,6 +54,7 @@
     TakeoverTimes timesFor(const ServerState &server, core::TimePoint now) const;
     core::Duration requestTimeoutOf(const ServerState &server) const;
     void followOwners(const ClusterState *before, core::TimePoint now);
+    void fetchLedgersOfTakeovers(const ClusterState &before);
     std::optional<core::TimePoint> authorityUntil(const core::ServerName &server) const;
     void refreshAuthority();
     bool logIsReachable(core::TimePoint now) const;
--- a/libs/decisions/src/request_ledger.cpp
+++ b/libs/decisions/src/request_ledger.cpp
@@ -45,6 +45,14 @@
     started.callerUnknownUntil = initial ? now : now + this->options.callerWindow;
 }
 
+std::vector<core::SlotIndex> RequestLedger::ownedSlots() const
+{
+    std::vector<core::SlotIndex> owned;
+    for (const auto &[slot, memory] : this->slots)
+        owned.push_back(slot);
+    return owned;
+}
+
 void RequestLedger::dropSlot(core::SlotIndex slot)
 {
     const auto found = this->slots.find(slot);
--- a/libs/peer/include/amaranthdale/peer/messages.h
+++ b/libs/peer/include/amaranthdale/peer/messages.h
@@ -93,6 +93,7 @@
 /// Asks the former controller of some slots for what it knows of their requests.
 struct LedgerRequest
 {
+    core::ServerName server; ///< Under which the former controller kept the ledger.
     core::ServiceName service;
     std::vector<core::SlotIndex> slots;
     core::LogOffset offset; ///< Of the record that moved the slots.
--- a/libs/peer/src/messages.cpp
+++ b/libs/peer/src/messages.cpp
@@ -288,6 +288,7 @@
 core::Result<std::string> encodeLedgerRequest(const LedgerRequest &message)
 {
     wire::LedgerRequest to;
+    to.set_server(message.server.value);
     to.set_service(message.service.value);
     to.mutable_slots()->Add(message.slots.begin(), message.slots.end());
     to.set_offset(message.offset.value);
@@ -297,9 +298,10 @@
 core::Result<LedgerRequest> decodeLedgerRequest(std::string_view bytes)
 {
     wire::LedgerRequest from;
-    if (!parse(from, bytes) || from.service().empty())
+    if (!parse(from, bytes) || from.service().empty() || from.server().empty())
         return malformed("ledger request");
     LedgerRequest message;
+    message.server = core::ServerName(from.server());
     message.service = core::ServiceName(from.service());
     message.slots.assign(from.slots().begin(), from.slots().end());
     message.offset = core::LogOffset(from.offset());
--- a/libs/peer/tests/messages_test.cpp
+++ b/libs/peer/tests/messages_test.cpp
@@ -115,6 +115,7 @@
 {
     checkProperty("ledger", [] {
         LedgerRequest request;
+        request.server = core::ServerName(anyName());
         request.service = core::ServiceName(anyName());
         request.slots = anyList([] { return *rc::gen::arbitrary<std::uint32_t>(); });
         request.offset = core::LogOffset(*rc::gen::arbitrary<std::uint64_t>());
--- a/tools/backend_standin/backend_handler.cpp
+++ b/tools/backend_standin/backend_handler.cpp
@@ -91,19 +91,20 @@
     Grant grant;
     if (auto fault = readBody(request.body, [&grant](auto &reader) { readGrant(reader, grant); }))
         return std::move(*fault);
-    const core::TimePoint now = this->clock.now();
-    const auto until = std::chrono::time_point_cast<std::chrono::microseconds>(
-            this->wallNow() + (grant.expiresAt - now));
-    const history::GrantEvent event{this->wallNow(), until,       this->settings.name,
-                                    grant.service,   grant.fence, grant.slots,
-                                    grant.hotKeys};
     const bool accepted = this->state.with([&](BackendState &held) {
         const bool addressed =
                 grant.incarnation == held.incarnation && grant.service == this->settings.service;
-        return addressed && held.grants.accept(std::move(grant), this->settings.checksFence);
+        if (!addressed || !held.grants.accept(grant, this->settings.checksFence))
+            return false;
+        // Timed under the lock: two grants at once must stand in the order in which they held.
+        const core::TimePoint now = this->clock.now();
+        const auto until = std::chrono::time_point_cast<std::chrono::microseconds>(
+                this->wallNow() + (grant.expiresAt - now));
+        this->sink.write(history::GrantEvent{this->wallNow(), until, this->settings.name,
+                                             grant.service, grant.fence, grant.slots,
+                                             grant.hotKeys});
+        return true;
     });
-    if (accepted)
-        this->sink.write(event);
     return this->report(accepted ? statusOk : statusConflict);
 }
 
