Strike a request whose server crashed and stayed away

Cause: a strike was given only when the server answered under another incarnation. Change: a refused connection after a lost one gives the lost request its strike; without a lost connection nothing is struck, since a partition looks the same. Ruled out: striking on each lost connection, which would blame requests for a network fault.

--- a/libs/daemon/src/control_actions.cpp
+++ b/libs/daemon/src/control_actions.cpp
@@ -63,6 +63,8 @@
                 return dispatcher.reportReceived(
                         {parsed->incarnation, parsed->inFlight, parsed->load}, now);
             });
+    } else if (parsed.error().kind == core::ErrorKind::Unavailable) {
+        this->serverUnreachable(answer.server);
     }
     this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
         engine.serverAnswered(answer, now);
@@ -71,6 +73,15 @@
     this->observeGrants(answer.server);
 }
 
+void ControlLoop::serverUnreachable(const core::ServerName &server)
+{
+    if (const auto runner = this->context.shared.runner(server))
+        runner->decide([](decisions::ServerDispatcher &dispatcher, core::TimePoint now) {
+            dispatcher.serverUnreachable(now);
+            return decisions::Actions();
+        });
+}
+
 void ControlLoop::perform(const decisions::ProbeServer &action)
 {
     this->askServer(action.server, loadQuery(), {});
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -93,6 +93,7 @@
     void fetchLedger(const decisions::FetchLedger &action, unsigned attempt);
     void ledgerAnswered(const decisions::FetchLedger &action, unsigned attempt,
                         const core::Outcome<std::string> &body);
+    void serverUnreachable(const core::ServerName &server);
     void askServer(const core::ServerName &server, core::HttpRequest request, core::Fence fence);
     void serverResponded(decisions::ServerAnswer answer, const core::Outcome<std::string> &body,
                          unsigned status);
--- a/libs/daemon/tests/control_loop_test.cpp
+++ b/libs/daemon/tests/control_loop_test.cpp
@@ -276,6 +276,26 @@
     CHECK(strikes[0].incarnation == core::Incarnation(7));
 }
 
+TEST_CASE("a server that lost a request's connection and stays away gives that request a strike")
+{
+    Fixture fixture;
+    fixture.settle();
+    fixture.pay("p1");
+    REQUIRE(fixture.requests.size() == 1);
+    fixture.requests.front().respond(core::Error{ErrorKind::ConnectionLost, "reset"});
+    while (!fixture.backends.sent.empty())
+        fixture.backends.sent.pop_front();
+    fixture.clock.advance(milliseconds(150)); // A renewal falls due.
+    REQUIRE_FALSE(fixture.backends.sent.empty());
+    fixture.backends.sent.front().respond(core::Error{ErrorKind::Unavailable, "refused"});
+    const auto strikes =
+            fixture.tables.crashFilter->with([&](const decisions::CrashFilter &filter) {
+                return filter.strikes(fixture.clock.now());
+            });
+    REQUIRE(strikes.size() == 1);
+    CHECK(strikes[0].fingerprint == 77);
+}
+
 TEST_CASE("a ledger that can forget nothing because the log stands still gets a new offset")
 {
     Fixture fixture;
--- a/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
+++ b/libs/decisions/include/amaranthdale/decisions/server_dispatcher.h
@@ -121,6 +121,8 @@
     /// The server is known to have crashed or frozen: what was in flight gets a strike. Still call
     /// `completed` for each request that was in flight.
     void serverCrashed(core::TimePoint now);
+    /// Nothing listens at the server's address: what lost its connection before gets a strike.
+    void serverUnreachable(core::TimePoint now);
     void replayed(core::LogOffset offset, core::TimePoint now);
 
     void startSlot(core::SlotIndex slot, core::LogOffset knownSince, bool initial,
@@ -142,6 +144,8 @@
     LimitReason limitReason(core::TimePoint now) const { return this->limit->reasonKind(now); }
 
 private:
+    void strikeSuspects(core::TimePoint now);
+
     enum class Stage { Queued, InFlight, Attached };
 
     struct Pending
--- a/libs/decisions/src/dispatcher_control.cpp
+++ b/libs/decisions/src/dispatcher_control.cpp
@@ -161,18 +161,30 @@
 
 void ServerDispatcher::serverCrashed(core::TimePoint now)
 {
-    std::vector<std::uint64_t> fingerprints;
-    for (const Suspect &suspect : this->suspects)
-        fingerprints.push_back(suspect.fingerprint);
     for (const auto &[ticket, item] : this->pending) {
         if (item.stage == Stage::InFlight)
-            fingerprints.push_back(item.request.fingerprint);
+            this->suspects.push_back(Suspect{item.request.fingerprint, now});
     }
+    this->strikeSuspects(now);
+    this->limit->connectionLost(now);
+}
+
+void ServerDispatcher::serverUnreachable(core::TimePoint now)
+{
+    // Without a lost connection this may be a partition, for which no request is to blame.
+    if (!this->suspects.empty())
+        this->strikeSuspects(now);
+}
+
+void ServerDispatcher::strikeSuspects(core::TimePoint now)
+{
+    std::vector<std::uint64_t> fingerprints;
+    for (const Suspect &suspect : this->suspects)
+        fingerprints.push_back(suspect.fingerprint);
     this->suspects.clear();
     this->crashFilter->with([&](CrashFilter &filter) {
         filter.crashed(fingerprints, this->options.server, this->incarnation, now);
     });
-    this->limit->connectionLost(now);
 }
 
 void ServerDispatcher::replayed(core::LogOffset offset, core::TimePoint now)
