--- a/libs/daemon/src/caller_request.cpp
+++ b/libs/daemon/src/caller_request.cpp
@@ -22,6 +22,15 @@
 
 constexpr unsigned defaultBudgetBurst = 100;
 
+// No server did any work: the controller is being replaced, or the slots are moving away from a
+// server that can't be reached.
+bool waitsForControl(const ForwardResult &result)
+{
+    const bool notReached = result.refusal.kind == ErrorKind::Fenced
+            || result.refusal.kind == ErrorKind::Unavailable;
+    return result.outcome == RunOutcome::NotRun && notReached;
+}
+
 } // namespace
 
 EntryTable::EntryTable(std::uint64_t seed)
@@ -173,7 +182,7 @@
 
 void CallerRequest::decideAfter(const ForwardResult &result)
 {
-    if (result.outcome == RunOutcome::NotRun && result.refusal.kind == ErrorKind::Fenced) {
+    if (waitsForControl(result)) {
         this->renewId();
         return this->waitForOwner(result);
     }
--- a/libs/daemon/src/server_runner.cpp
+++ b/libs/daemon/src/server_runner.cpp
@@ -15,12 +15,8 @@
 using decisions::ServerDispatcher;
 using decisions::Ticket;
 
-constexpr core::Duration tickInterval = std::chrono::milliseconds(5);
 constexpr core::Duration cancelTimeout = std::chrono::milliseconds(500);
 
-// The next controller asks within a second of its record.
-constexpr core::Duration retiredLedgerTime = std::chrono::seconds(30);
-
 // Responses to non-idempotent requests are held whole until their end is known, so that a resend
 // can be given the same response.
 constexpr std::size_t wholeResponseBytes = 8 * 1024 * 1024;
@@ -115,59 +111,6 @@
             this->state.with([&](State &shared) { return function(shared.dispatcher, now); }));
 }
 
-void ServerRunner::pauseSlots(std::vector<core::SlotIndex> slots, core::TimePoint deadline,
-                              std::function<void()> idle)
-{
-    const core::TimePoint now = this->context.clock.now();
-    const Actions actions = this->state.with([&](State &shared) {
-        Actions decided;
-        for (core::SlotIndex slot : slots) {
-            Actions more = shared.dispatcher.pauseSlot(slot, now);
-            std::move(more.begin(), more.end(), std::back_inserter(decided));
-        }
-        shared.pauses.push_back(Pause{std::move(slots), deadline, std::move(idle)});
-        return decided;
-    });
-    this->perform(actions);
-    this->endPauses();
-    this->scheduleTick();
-}
-
-decisions::DispatcherLoad ServerRunner::load() const
-{
-    const core::TimePoint now = this->context.clock.now();
-    return this->state.with([now](const State &shared) { return shared.dispatcher.load(now); });
-}
-
-decisions::LimitReason ServerRunner::limitReason() const
-{
-    const core::TimePoint now = this->context.clock.now();
-    return this->state.with(
-            [now](const State &shared) { return shared.dispatcher.limitReason(now); });
-}
-
-bool ServerRunner::idle() const
-{
-    return this->state.with([](const State &shared) { return shared.runs.empty(); });
-}
-
-bool ServerRunner::needsNewOffset() const
-{
-    const core::TimePoint now = this->context.clock.now();
-    return this->state.with(
-            [now](const State &shared) { return shared.dispatcher.needsNewOffset(now); });
-}
-
-core::Endpoint ServerRunner::endpoint() const
-{
-    return this->state.with([](const State &shared) { return shared.endpoint; });
-}
-
-void ServerRunner::moveTo(const core::Endpoint &address)
-{
-    this->state.with([&](State &shared) { shared.endpoint = address; });
-}
-
 void ServerRunner::perform(const Actions &actions)
 {
     for (const decisions::Action &action : actions)
@@ -232,8 +175,6 @@
                         std::to_string(fence.epoch.value) + '.' + std::to_string(fence.sequence));
         if (request.ownerOnly)
             core::setHeader(message.headers, "X-Slot", std::to_string(request.info.slot));
-        if (request.key)
-            core::setHeader(message.headers, "X-Key", *request.key);
         endpoint = shared.endpoint;
         return true;
     });
@@ -380,56 +321,6 @@
                                 [](const core::Outcome<core::HttpResponse> &) {});
 }
 
-void ServerRunner::retireSlot(core::SlotIndex slot)
-{
-    const core::TimePoint now = this->context.clock.now();
-    this->perform(this->state.with([&](State &shared) {
-        std::erase_if(shared.retired, [now](const auto &entry) {
-            return now - entry.second.retiredAt > retiredLedgerTime;
-        });
-        if (shared.dispatcher.ownsSlot(slot))
-            shared.retired[slot] = Retired{shared.dispatcher.exportSlot(slot, now), now};
-        return shared.dispatcher.dropSlot(slot, now);
-    }));
-}
-
-void ServerRunner::forgetLedgers()
-{
-    this->decide([](ServerDispatcher &dispatcher, core::TimePoint now) {
-        return dispatcher.dropAllSlots(now);
-    });
-    this->state.with([](State &shared) { shared.retired.clear(); });
-}
-
-void ServerRunner::exportSlots(const std::vector<core::SlotIndex> &slots,
-                               std::vector<decisions::SlotMemory> &memories) const
-{
-    const core::TimePoint now = this->context.clock.now();
-    this->state.with([&](const State &shared) {
-        for (core::SlotIndex slot : slots) {
-            const auto retired = shared.retired.find(slot);
-            if (shared.dispatcher.ownsSlot(slot))
-                memories.push_back(shared.dispatcher.exportSlot(slot, now));
-            else if (retired != shared.retired.end())
-                memories.push_back(retired->second.memory);
-        }
-    });
-}
-
-void ServerRunner::cancelInFlight()
-{
-    const auto exchanges = this->state.with([](State &shared) {
-        std::vector<std::shared_ptr<core::Exchange>> found;
-        for (auto &[ticket, run] : shared.runs) {
-            if (run.exchange)
-                found.push_back(run.exchange);
-        }
-        return found;
-    });
-    for (const auto &exchange : exchanges)
-        exchange->cancel();
-}
-
 void ServerRunner::callerGone(Ticket ticket)
 {
     this->decide([ticket](ServerDispatcher &dispatcher, core::TimePoint now) {
@@ -457,69 +348,4 @@
     run->handler(std::move(result));
 }
 
-void ServerRunner::scheduleTick()
-{
-    const bool start = this->state.with([](State &shared) {
-        const bool wanted =
-                !shared.ticking && (!shared.dispatcher.idle() || !shared.pauses.empty());
-        shared.ticking = shared.ticking || wanted;
-        return wanted;
-    });
-    if (!start)
-        return;
-    this->context.clock.schedule(this->context.clock.now() + tickInterval,
-                                 [weak = this->weak_from_this()] {
-                                     if (const auto self = weak.lock())
-                                         self->tick();
-                                 });
-}
-
-void ServerRunner::tick()
-{
-    this->state.with([](State &shared) { shared.ticking = false; });
-    this->decide(
-            [](ServerDispatcher &dispatcher, core::TimePoint now) { return dispatcher.tick(now); });
-    this->endPauses();
-    this->scheduleTick();
-}
-
-void ServerRunner::collectSent(const State &shared, const std::vector<core::SlotIndex> &slots,
-                               std::vector<Cancellation> &found)
-{
-    for (const auto &[ticket, run] : shared.runs) {
-        const decisions::RequestInfo &info = run.request.info;
-        const bool ofSlots =
-                !info.anyServer && std::find(slots.begin(), slots.end(), info.slot) != slots.end();
-        if (ofSlots && run.exchange)
-            found.push_back({info.id, run.exchange});
-    }
-}
-
-void ServerRunner::endPauses()
-{
-    const core::TimePoint now = this->context.clock.now();
-    std::vector<std::function<void()>> ended;
-    std::vector<Cancellation> late;
-    this->state.with([&](State &shared) {
-        std::erase_if(shared.pauses, [&](Pause &pause) {
-            const bool busy =
-                    std::any_of(pause.slots.begin(), pause.slots.end(), [&](core::SlotIndex slot) {
-                        return shared.dispatcher.slotInFlight(slot) > 0;
-                    });
-            if (busy && now < pause.deadline)
-                return false;
-            if (busy)
-                collectSent(shared, pause.slots, late);
-            ended.push_back(std::move(pause.idle));
-            return true;
-        });
-    });
-    for (const Cancellation &each : late) {
-        each.exchange->cancel();
-        this->cancelOnServer(each.id);
-    }
-    for (const auto &idle : ended)
-        idle();
-}
-
 } // namespace amaranthdale::daemon
