--- a/libs/decisions/include/amaranthdale/decisions/cluster_state.h
+++ b/libs/decisions/include/amaranthdale/decisions/cluster_state.h
@@ -108,7 +108,7 @@
     /// Bans by fingerprint, at most 1024: the oldest leaves first, expired or not.
     const std::map<std::uint64_t, CrashBan> &crashBans() const { return this->banTable; }
 
-    /// What the newest snapshot on the log covers; 0 without one.
+    /// Where the newest snapshot on the log became complete; 0 without one.
     core::LogOffset snapshotOffset() const { return this->lastSnapshot; }
 
     const ServiceState *findService(const core::ServiceName &name) const;
--- a/libs/decisions/src/cluster_state.cpp
+++ b/libs/decisions/src/cluster_state.cpp
@@ -287,11 +287,13 @@
     return accepted();
 }
 
-Applied ClusterState::applyBody(core::LogOffset, const LogRecord &, const SnapshotRecord &body)
+Applied ClusterState::applyBody(core::LogOffset offset, const LogRecord &,
+                                const SnapshotRecord &body)
 {
-    // Pieces are appended in order, so the last one shows that the snapshot is complete.
+    // Pieces are appended in order, so the last one shows that the snapshot is complete. Its own
+    // offset counts: the pieces would make the next snapshot due where there are many of them.
     if (body.index + 1 == body.count)
-        this->lastSnapshot = std::max(this->lastSnapshot, body.covers);
+        this->lastSnapshot = offset;
     return accepted();
 }
 
