Tell the engine its record's fate together with the state it led to

The engine learned that its move was replayed in one step and the new state in the next; a renewal decided in between granted the moved slots to their old server again, while the new one already held them (trace: revocation as sequence 13, the slots granted again as 14, revoked as 15 after 0.8 ms, during which the other server's grant began). Change: fates of own records wait for the replayed state of their batch, and both reach the engine under one lock. Ruled out: a fault of the checker.

--- a/libs/daemon/src/control_loop.cpp
+++ b/libs/daemon/src/control_loop.cpp
@@ -190,18 +190,18 @@
     if (const auto *control = std::get_if<decisions::ControllerRecord>(&record.body);
         control && applied.accepted)
         this->followControl(*control, offset);
-    if (record.id.proposer != this->context.self || record.id.sequence >= firstSnapshotSequence)
-        return;
-    this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
-        engine.ownRecordApplied(record.id, offset, applied, now);
-    });
+    if (record.id.proposer == this->context.self && record.id.sequence < firstSnapshotSequence)
+        this->ownRecords.push_back(OwnRecord{record.id, offset, applied});
 }
 
 void ControlLoop::replayed(const StatePointer &state)
 {
     this->context.recorder.offsetReplayed(state->offset());
     this->updateRunners(state);
+    const std::vector<OwnRecord> settled = std::exchange(this->ownRecords, {});
     this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
+        for (const OwnRecord &record : settled)
+            engine.ownRecordApplied(record.id, record.offset, record.applied, now);
         engine.replayed(state, now);
     });
     const auto lastHeard = this->context.shared.membership.with([](const MembershipTable &table) {
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -115,7 +115,18 @@
 
     ControlContext context;
     UnavailableSlots unavailable;
+    // The fate of a record of this instance, met on replay.
+    struct OwnRecord
+    {
+        decisions::RecordId id;
+        core::LogOffset offset;
+        decisions::Applied applied;
+    };
+
     std::function<core::Duration()> logAge;
+    // Fates that the engine learns together with the state that they led to: a grant decided in
+    // between would return slots whose move has just taken effect. Replay only.
+    std::vector<OwnRecord> ownRecords;
     std::atomic<bool> stopped = false;
     std::atomic<std::uint64_t> snapshotSequence;
 
--- a/libs/decisions/include/amaranthdale/decisions/ownership_engine.h
+++ b/libs/decisions/include/amaranthdale/decisions/ownership_engine.h
@@ -31,7 +31,8 @@
                     std::unique_ptr<Placement> placement, core::TimePoint now);
     ~OwnershipEngine();
 
-    /// The fate of a record of this instance, met on replay. Comes before `replayed` of its batch.
+    /// The fate of a record of this instance, met on replay. Comes before `replayed` of its batch,
+    /// in the same step: no action may be taken in between.
     void ownRecordApplied(const RecordId &id, core::LogOffset offset, const Applied &applied,
                           core::TimePoint now);
 
