--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -23,7 +23,7 @@
   target_link_libraries(${target} ${scope} ${ARG_LINK} Threads::Threads)
 
   file(GLOB tests CONFIGURE_DEPENDS tests/*.cpp)
-  if(tests)
+  if(AMARANTHDALE_TESTS AND tests)
     add_executable(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE ${target} rapidcheck ${ARG_TEST_LINK})
     target_include_directories(test_${name} PRIVATE src tests)
--- /dev/null
+++ b/libs/balance/src/service_balancer.cpp
@@ -0,0 +1,191 @@
+// Choice by expected time to a response.
+#include "amaranthdale/balance/service_balancer.h"
+
+#include <boost/random/uniform_01.hpp>
+
+#include <algorithm>
+
+namespace amaranthdale::balance {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double usualWeight = 0.05; // Of one response in the usual time of a route.
+
+// A route without history is taken to need this part of its target latency.
+constexpr double initialShareOfTarget = 0.33;
+
+// Cost of a failure: an idempotent request is sent again, another is lost.
+constexpr double repeatCost = 1.5;
+constexpr double lossCost = 6;
+
+// Other data centres are about 1 ms away, but bytes between them are paid for.
+constexpr auto remoteCost = std::chrono::milliseconds(4);
+constexpr auto remoteDownloadCost = std::chrono::milliseconds(25);
+
+// Part of the estimate that is random, so that instances with the same reports spread out.
+constexpr double jitter = 0.15;
+
+// Retry-After of refusals for lack of capacity; queues of this size clear within it.
+constexpr auto capacityRetry = std::chrono::milliseconds(150);
+constexpr auto absentRetry = std::chrono::milliseconds(400);
+
+core::Duration scale(core::Duration duration, double factor)
+{
+    return std::chrono::duration_cast<core::Duration>(duration * factor);
+}
+
+} // namespace
+
+ServiceBalancer::ServiceBalancer(RetryLimits retryLimits, core::DataCentreName ownDataCentre,
+                                 std::uint64_t seed)
+    : budget(retryLimits), dataCentre(std::move(ownDataCentre)),
+      random(static_cast<std::uint32_t>(seed))
+{ }
+
+void ServiceBalancer::setServers(const catalog::BackendServers &usable)
+{
+    std::map<core::ServerName, ServerLoad> next;
+    for (const catalog::BackendServer &server : usable) {
+        const auto known = this->servers.find(server.name);
+        if (known == this->servers.end()
+            || known->second.server().incarnation != server.incarnation) {
+            next.emplace(server.name, ServerLoad(server));
+            continue;
+        }
+        known->second.update(server);
+        next.emplace(server.name, std::move(known->second));
+    }
+    this->servers = std::move(next);
+}
+
+core::Duration ServiceBalancer::usualTime(const Demand &demand) const
+{
+    const auto known = this->usualOfRoute.find(demand.route);
+    return known != this->usualOfRoute.end() ? known->second
+                                             : scale(demand.targetLatency, initialShareOfTarget);
+}
+
+double ServiceBalancer::warmupRate() const
+{
+    return this->service.warmupRate / std::max(1U, this->share.instances);
+}
+
+ServiceBalancer::Option ServiceBalancer::assess(ServerLoad &load, const Demand &demand,
+                                                core::TimePoint now)
+{
+    Option option;
+    option.load = &load;
+    option.estimate = load.estimate(this->usualTime(demand), now);
+    const bool repeatable = catalog::isRepeatable(demand.kind);
+    const double failureCost = load.failureRate(now) * (repeatable ? repeatCost : lossCost);
+    boost::random::uniform_01<double> uniform;
+    option.cost = scale(option.estimate, 1 + jitter * uniform(this->random))
+            + scale(demand.targetLatency, failureCost);
+    if (load.server().dataCentre != this->dataCentre)
+        option.cost += demand.kind == catalog::RequestKind::Download
+                ? core::Duration(remoteDownloadCost)
+                : core::Duration(remoteCost);
+    return option;
+}
+
+std::optional<ServiceBalancer::Option> ServiceBalancer::best(const Demand &demand,
+                                                             core::TimePoint now, bool trustedOnly)
+{
+    std::optional<Option> chosen;
+    for (auto &[name, load] : this->servers) {
+        const bool tried = std::find(demand.tried.begin(), demand.tried.end(), name)
+                != demand.tried.end();
+        if (tried || load.isTrusted(now) != trustedOnly
+            || load.nextWarmup(this->warmupRate(), now) > now)
+            continue;
+        const Option option = this->assess(load, demand, now);
+        if (!chosen || option.cost < chosen->cost)
+            chosen = option;
+    }
+    return chosen;
+}
+
+Choice ServiceBalancer::choose(const Demand &demand, core::TimePoint now)
+{
+    if (demand.owner)
+        return this->chooseOwner(demand, now);
+    auto option = this->best(demand, now, true);
+    if (!option)
+        option = this->best(demand, now, false);
+    if (option)
+        return this->accept(*option, demand, now);
+    core::TimePoint next = core::TimePoint::max();
+    for (auto &[name, load] : this->servers) {
+        if (load.isCold(now))
+            next = std::min(next, load.nextWarmup(this->warmupRate(), now));
+    }
+    if (next < now + (demand.deadline - now) / 2)
+        return WaitUntil{next};
+    return Refuse{absentRetry, this->servers.empty() ? "no-server" : "all-servers-failed"};
+}
+
+Choice ServiceBalancer::chooseOwner(const Demand &demand, core::TimePoint now)
+{
+    const auto found = this->servers.find(*demand.owner);
+    if (found == this->servers.end())
+        return Refuse{absentRetry, "owner-unusable"};
+    ServerLoad &load = found->second;
+    if (!load.isTrusted(now))
+        return Refuse{absentRetry, "owner-unreachable"};
+    const core::TimePoint next = load.nextWarmup(this->warmupRate(), now);
+    if (next <= now)
+        return this->accept(this->assess(load, demand, now), demand, now);
+    if (next < now + (demand.deadline - now) / 2)
+        return WaitUntil{next};
+    return Refuse{absentRetry, "owner-cold"};
+}
+
+Choice ServiceBalancer::accept(const Option &option, const Demand &demand, core::TimePoint now)
+{
+    // A response that would come too late is not worth a place in a queue. Less urgent requests
+    // give way first.
+    constexpr double reservedPerPriority = 0.1;
+    const double usable = std::max(0.6, 1 - reservedPerPriority * demand.priority);
+    if (option.estimate > scale(demand.deadline - now, usable) && option.load->inFlight() > 0)
+        return Refuse{capacityRetry, "over-capacity"};
+    option.load->takeWarmup(this->warmupRate(), now);
+    option.load->onSent(now);
+    return SendTo{option.load->server()};
+}
+
+void ServiceBalancer::onEnd(const core::ServerName &server, const std::string &route,
+                            AttemptResult result, core::TimePoint sentAt, core::TimePoint now)
+{
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end())
+        return;
+    const core::Duration elapsed = now - sentAt;
+    const auto usual = this->usualOfRoute.find(route);
+    const bool measured = usual != this->usualOfRoute.end();
+    found->second.onEnd(result, elapsed, measured ? usual->second : core::Duration::zero(), sentAt,
+                        now);
+    if (result != AttemptResult::Answered)
+        return;
+    if (measured)
+        usual->second += scale(elapsed - usual->second, usualWeight);
+    else
+        this->usualOfRoute.emplace(route, elapsed);
+}
+
+void ServiceBalancer::onReport(const core::ServerName &server, const LoadReport &report,
+                               core::TimePoint now)
+{
+    const auto found = this->servers.find(server);
+    if (found != this->servers.end())
+        found->second.onReport(report, now);
+}
+
+double ServiceBalancer::capacity(const core::ServerName &server) const
+{
+    const auto found = this->servers.find(server);
+    return found == this->servers.end() ? 1 : found->second.capacity();
+}
+
+} // namespace amaranthdale::balance
--- /dev/null
+++ b/libs/catalog/src/directory.cpp
@@ -0,0 +1,129 @@
+// Bookkeeping of announced servers, lapsed entries and drained data centres.
+#include "amaranthdale/catalog/directory.h"
+
+#include <algorithm>
+
+namespace amaranthdale::catalog {
+
+DirectoryChange Directory::announce(BackendServer server)
+{
+    this->lapsed.erase(server.name);
+    const auto found = this->servers.find(server.name);
+    if (found == this->servers.end()) {
+        this->servers.emplace(server.name, std::move(server));
+        return DirectoryChange::Added;
+    }
+    BackendServer &known = found->second;
+    if (known.incarnation > server.incarnation) {
+        // Either a late announcement of an earlier run, or a run that started after its machine's
+        // calendar clock was set back: only the latter announces itself again.
+        const auto [earlier, first] = this->earlierRuns.insert({server.name, server.incarnation});
+        if (first)
+            return DirectoryChange::None;
+    }
+    this->earlierRuns.erase(this->earlierRuns.lower_bound({server.name, 0}),
+                            this->earlierRuns.upper_bound({server.name, UINT64_MAX}));
+    const bool restarted = known.incarnation != server.incarnation;
+    if (known == server)
+        return DirectoryChange::None;
+    known = std::move(server);
+    return restarted ? DirectoryChange::Restarted : DirectoryChange::Updated;
+}
+
+DirectoryChange Directory::remove(const core::ServerName &name, core::TimePoint now)
+{
+    const auto found = this->servers.find(name);
+    if (found == this->servers.end())
+        return DirectoryChange::None;
+    if (now < this->graceUntil && !found->second.draining) {
+        this->lapsed.try_emplace(name, std::min(this->graceUntil, now + lapsedUse));
+        return DirectoryChange::None;
+    }
+    this->lapsed.erase(name);
+    this->servers.erase(found);
+    return DirectoryChange::Removed;
+}
+
+void Directory::retain(const std::set<core::ServerName> &names, core::TimePoint now)
+{
+    std::vector<core::ServerName> missing;
+    for (const auto &[name, server] : this->servers) {
+        if (!names.contains(name))
+            missing.push_back(name);
+    }
+    for (const core::ServerName &name : missing)
+        this->remove(name, now);
+}
+
+void Directory::outageEnded(core::TimePoint now)
+{
+    this->graceUntil = now + lapseGrace;
+}
+
+std::vector<core::ServerName> Directory::expire(core::TimePoint now)
+{
+    std::vector<core::ServerName> gone;
+    for (auto entry = this->lapsed.begin(); entry != this->lapsed.end();) {
+        if (now < entry->second) {
+            ++entry;
+            continue;
+        }
+        this->servers.erase(entry->first);
+        gone.push_back(entry->first);
+        entry = this->lapsed.erase(entry);
+    }
+    return gone;
+}
+
+core::TimePoint Directory::nextExpiry() const
+{
+    core::TimePoint next = core::TimePoint::max();
+    for (const auto &[name, due] : this->lapsed)
+        next = std::min(next, due);
+    return next;
+}
+
+void Directory::setDrained(std::set<core::DataCentreName> names, core::TimePoint now,
+                           core::Duration warmup)
+{
+    for (auto &[name, server] : this->servers) {
+        if (this->drained.contains(server.dataCentre) && !names.contains(server.dataCentre))
+            server.coldUntil = std::max(server.coldUntil, now + warmup);
+    }
+    this->drained = std::move(names);
+}
+
+BackendServers Directory::usable(const core::ServiceName &service) const
+{
+    BackendServers found;
+    for (const auto &[name, server] : this->servers) {
+        if (server.service == service && !server.draining && !this->isDrained(server.dataCentre))
+            found.push_back(server);
+    }
+    return found;
+}
+
+BackendServers Directory::all(const core::ServiceName &service) const
+{
+    BackendServers found;
+    for (const auto &[name, server] : this->servers) {
+        if (server.service == service)
+            found.push_back(server);
+    }
+    return found;
+}
+
+const BackendServer *Directory::find(const core::ServerName &name) const
+{
+    const auto found = this->servers.find(name);
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
+bool Directory::isUsable(const core::ServerName &name, std::uint64_t incarnation) const
+{
+    const BackendServer *server = this->find(name);
+    return server != nullptr && server->incarnation == incarnation && !server->draining
+            && !this->isDrained(server->dataCentre);
+}
+
+} // namespace amaranthdale::catalog
--- a/libs/cli/include/amaranthdale/cli/verbs.h
+++ b/libs/cli/include/amaranthdale/cli/verbs.h
@@ -3,7 +3,7 @@
 
 #include "amaranthdale/cli/cluster_client.h"
 #include "amaranthdale/cli/pacer.h"
-#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/logclient/log_service.h"
 
 #include <iosfwd>
 #include <optional>
@@ -33,7 +33,7 @@
 struct ChangeContext
 {
     ClusterClient &cluster;
-    platform::LogService &log;
+    logclient::LogService &log;
     Pacer &pacer;
     Proposer proposer;
     core::Duration waitLimit = std::chrono::seconds(30); ///< For being in force everywhere.
--- a/libs/cli/src/change.cpp
+++ b/libs/cli/src/change.cpp
@@ -32,17 +32,17 @@
     decisions::Applied applied;
 };
 
-Outcome<platform::LogPage> readLog(platform::LogService &log, LogOffset from, std::size_t most)
+Outcome<logclient::LogPage> readLog(logclient::LogService &log, LogOffset from, std::size_t most)
 {
-    return waitFor<platform::LogPage>(
+    return waitFor<logclient::LogPage>(
             [&](auto handler) { log.read(from, most, longPoll, logTimeout, handler); });
 }
 
 // Replays `page` up to the record `id`; nothing when the page doesn't have it.
-std::optional<Placed> replayPage(decisions::ClusterState &state, const platform::LogPage &page,
+std::optional<Placed> replayPage(decisions::ClusterState &state, const logclient::LogPage &page,
                                  const decisions::RecordId &id)
 {
-    for (const platform::LogEntry &entry : page.entries) {
+    for (const logclient::LogEntry &entry : page.entries) {
         const auto record = records::decodeRecord(entry.body);
         if (!record) {
             state.skip(entry.offset);
@@ -62,7 +62,7 @@
     const core::TimePoint limit = context.pacer.now() + context.waitLimit;
     while (context.pacer.now() < limit) {
         const LogOffset from(change.state.offset().value + 1);
-        const Outcome<platform::LogPage> page = readLog(context.log, from, recordsPerRead);
+        const Outcome<logclient::LogPage> page = readLog(context.log, from, recordsPerRead);
         if (page && page->first > from)
             return Error{ErrorKind::Unavailable,
                          "the log no longer holds the records since the state that was read; run "
@@ -94,9 +94,9 @@
 }
 
 // Who proposed the record at `offset`; empty when the log no longer holds it.
-std::string proposerAt(platform::LogService &log, LogOffset offset)
+std::string proposerAt(logclient::LogService &log, LogOffset offset)
 {
-    const Outcome<platform::LogPage> page = readLog(log, offset, 1);
+    const Outcome<logclient::LogPage> page = readLog(log, offset, 1);
     if (!page || page->entries.empty() || page->entries.front().offset != offset)
         return {};
     const auto record = records::decodeRecord(page->entries.front().body);
--- a/libs/clock/include/amaranthdale/clock/clock.h
+++ b/libs/clock/include/amaranthdale/clock/clock.h
@@ -25,6 +25,10 @@
     /// Monotonic time.
     virtual core::TimePoint now() const = 0;
 
+    /// Monotonic time that also counts while the machine is suspended. Rights that others wait out
+    /// are measured with it. Not comparable with `now`.
+    virtual core::TimePoint uptime() const { return this->now(); }
+
     /// Calendar time, for logs and reports only: decisions never use it.
     virtual std::chrono::system_clock::time_point wallNow() const = 0;
 
--- a/libs/clock/src/asio_clock.cpp
+++ b/libs/clock/src/asio_clock.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <time.h>
+
 #include <mutex>
 #include <unordered_map>
 
@@ -68,6 +70,14 @@
 
     core::TimePoint now() const override { return std::chrono::steady_clock::now(); }
 
+    core::TimePoint uptime() const override
+    {
+        timespec time{};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return core::TimePoint(std::chrono::seconds(time.tv_sec)
+                               + std::chrono::nanoseconds(time.tv_nsec));
+    }
+
     std::chrono::system_clock::time_point wallNow() const override
     {
         return std::chrono::system_clock::now();
--- /dev/null
+++ b/libs/control/include/amaranthdale/control/interfaces.h
@@ -0,0 +1,78 @@
+// What the control of keys needs from outside: a log, grants at servers, an election and peers.
+#pragma once
+
+#include "amaranthdale/catalog/directory.h"
+#include "amaranthdale/core/outcome.h"
+#include "amaranthdale/keyspace/granter.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthdale::control {
+
+/// State of a service's log.
+struct LogState
+{
+    bool changed = false; ///< False: nothing was added since the offset of the read.
+    std::optional<keyspace::Assignment> newest; ///< Newest record, where `changed`.
+    std::uint64_t end = 0;                      ///< Offset of the next record.
+};
+
+/// Durable assignments, one log for each keyed service. Thread-safe.
+class AssignmentLog
+{
+public:
+    virtual ~AssignmentLog() = default;
+
+    using ReadHandler = std::function<void(core::Outcome<LogState>)>;
+    using AppendHandler = std::function<void(keyspace::AppendResult)>;
+
+    /// Reads what was added at or after offset `from`, or the newest record where it is unset.
+    /// Waits up to `wait` for an addition.
+    virtual void read(const core::ServiceName &service, std::optional<std::uint64_t> from,
+                      core::Duration wait, ReadHandler handler) = 0;
+
+    /// Appends, provided that the log ends at the order's offset.
+    virtual void append(const core::ServiceName &service, const keyspace::AppendOrder &order,
+                        AppendHandler handler) = 0;
+};
+
+/// Grants and releases at backend servers. Thread-safe. An unanswered call is reset, so that no
+/// part of it arrives later than the granter's `transit`.
+class GrantChannel
+{
+public:
+    virtual ~GrantChannel() = default;
+
+    using GrantHandler = std::function<void(keyspace::OrderResult)>;
+    using ReleaseHandler = std::function<void(keyspace::OrderResult, std::string handover)>;
+
+    virtual void grant(const core::Endpoint &server, const keyspace::GrantOrder &order,
+                       GrantHandler handler) = 0;
+    virtual void release(const core::Endpoint &server, const keyspace::ReleaseOrder &order,
+                         ReleaseHandler handler) = 0;
+};
+
+/// Names one instance for each service. The answer may be wrong or differ between instances: it
+/// only keeps most instances from trying to become the granter.
+class Election
+{
+public:
+    virtual ~Election() = default;
+
+    virtual bool isElected(const core::ServiceName &service) const = 0;
+};
+
+/// Sends key counts to the granter. Losses are harmless.
+class LoadReporter
+{
+public:
+    virtual ~LoadReporter() = default;
+
+    virtual void report(const std::string &granterPeer, const core::ServiceName &service,
+                        const std::vector<keyspace::KeyCount> &counts) = 0;
+};
+
+} // namespace amaranthdale::control
--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -54,6 +54,14 @@
     std::string target;
     Headers headers;
     std::string body;
+
+    /// Field that the response has to repeat. A success without it, and any response with another
+    /// value, belongs to another request and is skipped.
+    std::optional<Header> echoed = std::nullopt;
+
+    /// Whether the request may be sent once more on a fresh connection when a kept one turns out
+    /// closed. Unset: GET and HEAD may.
+    std::optional<bool> repeatable = std::nullopt;
 };
 
 /// A piece of a response body.
@@ -141,6 +149,9 @@
     /// The bound address, with the port that the system chose where the settings gave 0.
     virtual Endpoint localEndpoint() const = 0;
 
+    /// Every response from now on ends its connection; connections are still accepted.
+    virtual void endConnections() { }
+
     /// Accepts no further connection, closes idle ones, and calls `drained` once when every
     /// request in progress has been answered.
     virtual void drain(std::function<void()> drained) = 0;
--- a/libs/daemon/src/control_loop.cpp
+++ b/libs/daemon/src/control_loop.cpp
@@ -145,10 +145,10 @@
                      this->context.promise);
 }
 
-void ControlLoop::instancesListed(const std::vector<platform::ListedInstance> &instances)
+void ControlLoop::instancesListed(const std::vector<logclient::ListedInstance> &instances)
 {
     std::vector<decisions::InstanceView> views;
-    for (const platform::ListedInstance &instance : instances)
+    for (const logclient::ListedInstance &instance : instances)
         views.push_back({instance.id, instance.dataCentre, instance.leaving});
     this->tell([&](decisions::OwnershipEngine &engine, core::TimePoint now) {
         engine.instancesListed(views, now);
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -4,7 +4,7 @@
 #include "amaranthdale/clock/clock.h"
 #include "amaranthdale/log/event_log.h"
 #include "amaranthdale/peer/messages.h"
-#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/logclient/log_service.h"
 #include "amaranthdale/report/recorder.h"
 #include "log_follower.h"
 #include "server_runner.h"
@@ -26,7 +26,7 @@
     clock::Clock &clock;
     core::HttpSender &backends;
     core::HttpSender &peers;
-    platform::LogService &logService;
+    logclient::LogService &logService;
     log::EventLog &log;
     report::Recorder &recorder;
     core::InstanceId self;
@@ -46,7 +46,7 @@
     /// Answers a peer's heartbeat with the promises that this instance gives.
     peer::HeartbeatReply heartbeatReceived(const peer::Heartbeat &heartbeat);
 
-    void instancesListed(const std::vector<platform::ListedInstance> &instances);
+    void instancesListed(const std::vector<logclient::ListedInstance> &instances);
 
     /// True when this instance replayed the log up to `offset` and may send nothing for the slots
     /// under `server` any more, so that its ledger of them is complete.
--- a/libs/daemon/src/instance.cpp
+++ b/libs/daemon/src/instance.cpp
@@ -76,8 +76,8 @@
     std::unique_ptr<core::HttpSender> backends;
     std::unique_ptr<core::HttpSender> platformSender;
     std::unique_ptr<core::HttpSender> peers;
-    std::unique_ptr<platform::LogService> logService;
-    std::unique_ptr<platform::InstanceList> instanceList;
+    std::unique_ptr<logclient::LogService> logService;
+    std::unique_ptr<logclient::InstanceList> instanceList;
 
     ControlLoop control;
     LocalForwarder local;
@@ -108,8 +108,8 @@
       backends(http::makeBackendClient(ioContext)),
       platformSender(http::makeBackendClient(ioContext)), peers(peer::makePeerClient(ioContext)),
       logService(
-              platform::makeLogService(*platformSender, settings.logService, settings.logStream)),
-      instanceList(platform::makeInstanceList(*platformSender, settings.instanceList)),
+              logclient::makeLogService(*platformSender, settings.logService, settings.logStream)),
+      instanceList(logclient::makeInstanceList(*platformSender, settings.instanceList)),
       control(ControlContext{shared, *clock, *backends, *peers, *logService, log, recorder, self,
                              settings.timings.promise}),
       local(shared), forwarder(shared, *clock, settings.instance, *peers, local),
@@ -132,13 +132,13 @@
     BOOST_LEAF_ASSIGN(
             this->peerListener,
             peer::makePeerServer(ioContext, this->settings.peerListen, this->peerService));
-    platform::ListedInstance line;
+    logclient::ListedInstance line;
     line.id = this->self;
     line.dataCentre = this->settings.dataCentre;
     line.peerEndpoint = this->peerListener->localEndpoint();
     this->directory = std::make_unique<PeerDirectory>(
             *this->instanceList, *this->clock, this->shared, this->log, *this->peers,
-            std::move(line), [this](const std::vector<platform::ListedInstance> &listed) {
+            std::move(line), [this](const std::vector<logclient::ListedInstance> &listed) {
                 this->control.instancesListed(listed);
             });
     this->follower = std::make_unique<LogFollower>(*this->logService, *this->clock, this->shared,
--- a/libs/daemon/src/log_follower.cpp
+++ b/libs/daemon/src/log_follower.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-LogFollower::LogFollower(platform::LogService &logService, clock::Clock &processClock,
+LogFollower::LogFollower(logclient::LogService &logService, clock::Clock &processClock,
                          Tables &sharedTables, log::EventLog &eventLog,
                          ReplayListener &replayListener, StateSource &stateSource)
     : service(logService), clock(processClock), shared(sharedTables), log(eventLog),
@@ -44,7 +44,7 @@
         return;
     const core::TimePoint began = this->clock.now();
     this->service.read(this->nextOffset, recordsPerRead, readWait, readTimeout,
-                       [this, began](core::Outcome<platform::LogPage> page) {
+                       [this, began](core::Outcome<logclient::LogPage> page) {
                            if (!page)
                                return this->readFailed(page.error());
                            this->pageRead(began, *page);
@@ -80,7 +80,7 @@
     });
 }
 
-void LogFollower::pageRead(core::TimePoint began, const platform::LogPage &page)
+void LogFollower::pageRead(core::TimePoint began, const logclient::LogPage &page)
 {
     if (this->nextOffset < page.first) {
         this->log.write(Severity::Info, "log-truncated",
@@ -102,9 +102,9 @@
     this->listener.tailRead(began);
 }
 
-void LogFollower::replay(const platform::LogPage &page)
+void LogFollower::replay(const logclient::LogPage &page)
 {
-    for (const platform::LogEntry &entry : page.entries) {
+    for (const logclient::LogEntry &entry : page.entries) {
         if (entry.offset < this->nextOffset)
             continue;
         this->replayEntry(entry);
@@ -114,7 +114,7 @@
         this->publish();
 }
 
-void LogFollower::replayEntry(const platform::LogEntry &entry)
+void LogFollower::replayEntry(const logclient::LogEntry &entry)
 {
     const auto decoded = records::decodeRecord(entry.body);
     if (!decoded) {
--- a/libs/daemon/src/log_follower.h
+++ b/libs/daemon/src/log_follower.h
@@ -4,7 +4,7 @@
 #include "amaranthdale/clock/clock.h"
 #include "amaranthdale/decisions/cluster_state.h"
 #include "amaranthdale/log/event_log.h"
-#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/logclient/log_service.h"
 #include "tables.h"
 
 #include <atomic>
@@ -45,7 +45,7 @@
 class LogFollower
 {
 public:
-    LogFollower(platform::LogService &logService, clock::Clock &processClock, Tables &sharedTables,
+    LogFollower(logclient::LogService &logService, clock::Clock &processClock, Tables &sharedTables,
                 log::EventLog &eventLog, ReplayListener &replayListener, StateSource &stateSource);
 
     void start();
@@ -61,14 +61,14 @@
     void readNext();
     void readFailed(const core::Error &error);
     void startFromPeers();
-    void pageRead(core::TimePoint began, const platform::LogPage &page);
-    void replay(const platform::LogPage &page);
-    void replayEntry(const platform::LogEntry &entry);
+    void pageRead(core::TimePoint began, const logclient::LogPage &page);
+    void replay(const logclient::LogPage &page);
+    void replayEntry(const logclient::LogEntry &entry);
     void collectSnapshot(core::LogOffset offset, const decisions::LogRecord &record);
     void adopt(decisions::ClusterState newState);
     void publish();
 
-    platform::LogService &service;
+    logclient::LogService &service;
     clock::Clock &clock;
     Tables &shared;
     log::EventLog &log;
--- a/libs/daemon/src/peer_directory.cpp
+++ b/libs/daemon/src/peer_directory.cpp
@@ -56,9 +56,9 @@
 
 } // namespace
 
-PeerDirectory::PeerDirectory(platform::InstanceList &instanceList, clock::Clock &processClock,
+PeerDirectory::PeerDirectory(logclient::InstanceList &instanceList, clock::Clock &processClock,
                              Tables &sharedTables, log::EventLog &eventLog,
-                             core::HttpSender &peerSender, platform::ListedInstance ownLine,
+                             core::HttpSender &peerSender, logclient::ListedInstance ownLine,
                              ListHandler onList)
     : list(instanceList), clock(processClock), shared(sharedTables), log(eventLog),
       peers(peerSender), self(std::move(ownLine)), listHandler(std::move(onList))
@@ -72,7 +72,7 @@
 
 void PeerDirectory::announce()
 {
-    platform::ListedInstance line = this->self;
+    logclient::ListedInstance line = this->self;
     line.leaving = this->leaving;
     this->list.announce(line, listTimeout, [this](const core::Outcome<core::Done> &result) {
         if (result || this->stopped)
@@ -88,14 +88,14 @@
 
 void PeerDirectory::fetch()
 {
-    using Listed = std::vector<platform::ListedInstance>;
+    using Listed = std::vector<logclient::ListedInstance>;
     this->list.fetch(listTimeout, [this](const core::Outcome<Listed> &listed) {
         if (this->stopped)
             return;
         if (listed) {
             this->shared.membership.with([&](MembershipTable &table) {
                 table.listed.clear();
-                for (const platform::ListedInstance &instance : *listed)
+                for (const logclient::ListedInstance &instance : *listed)
                     table.listed[instance.id.name] = instance;
             });
             this->listHandler(*listed);
--- a/libs/daemon/src/peer_directory.h
+++ b/libs/daemon/src/peer_directory.h
@@ -3,7 +3,7 @@
 
 #include "amaranthdale/clock/clock.h"
 #include "amaranthdale/log/event_log.h"
-#include "amaranthdale/platform/instance_list.h"
+#include "amaranthdale/logclient/instance_list.h"
 #include "log_follower.h"
 #include "tables.h"
 
@@ -15,11 +15,11 @@
 class PeerDirectory : public StateSource
 {
 public:
-    using ListHandler = std::function<void(const std::vector<platform::ListedInstance> &)>;
+    using ListHandler = std::function<void(const std::vector<logclient::ListedInstance> &)>;
 
-    PeerDirectory(platform::InstanceList &instanceList, clock::Clock &processClock,
+    PeerDirectory(logclient::InstanceList &instanceList, clock::Clock &processClock,
                   Tables &sharedTables, log::EventLog &eventLog, core::HttpSender &peerSender,
-                  platform::ListedInstance ownLine, ListHandler onList);
+                  logclient::ListedInstance ownLine, ListHandler onList);
 
     void start();
 
@@ -37,12 +37,12 @@
     void announce();
     void fetch();
 
-    platform::InstanceList &list;
+    logclient::InstanceList &list;
     clock::Clock &clock;
     Tables &shared;
     log::EventLog &log;
     core::HttpSender &peers;
-    platform::ListedInstance self;
+    logclient::ListedInstance self;
     ListHandler listHandler;
     std::atomic<bool> stopped = false;
     std::atomic<bool> leaving = false;
--- a/libs/daemon/src/tables.h
+++ b/libs/daemon/src/tables.h
@@ -4,7 +4,7 @@
 #include "amaranthdale/decisions/cluster_state.h"
 #include "amaranthdale/decisions/crash_filter.h"
 #include "amaranthdale/decisions/ownership_engine.h"
-#include "amaranthdale/platform/instance_list.h"
+#include "amaranthdale/logclient/instance_list.h"
 #include "amaranthdale/tables/guarded.h"
 
 #include <deque>
@@ -28,7 +28,7 @@
 /// Who may exist and how to reach it, as the platform's list says, and what peers told.
 struct MembershipTable
 {
-    std::map<core::InstanceName, platform::ListedInstance> listed;
+    std::map<core::InstanceName, logclient::ListedInstance> listed;
     std::map<core::InstanceName, PeerReport> heard;
 };
 
--- a/libs/daemon/tests/daemon_fixtures.h
+++ b/libs/daemon/tests/daemon_fixtures.h
@@ -3,7 +3,7 @@
 
 #include "amaranthdale/core/message.h"
 #include "amaranthdale/decisions/cluster_state.h"
-#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/logclient/log_service.h"
 #include "forward.h"
 #include "server_runner.h"
 
@@ -124,13 +124,13 @@
 };
 
 /// A log whose reads wait until the test answers them; appends are kept likewise.
-class FakeLog : public platform::LogService
+class FakeLog : public logclient::LogService
 {
 public:
     struct Read
     {
         core::LogOffset from;
-        std::function<void(core::Outcome<platform::LogPage>)> answer;
+        std::function<void(core::Outcome<logclient::LogPage>)> answer;
     };
     struct Append
     {
@@ -144,7 +144,7 @@
         this->appends.push_back({std::move(body), std::move(handler)});
     }
     void read(core::LogOffset from, std::size_t, core::Duration, core::Duration,
-              std::function<void(core::Outcome<platform::LogPage>)> handler) override
+              std::function<void(core::Outcome<logclient::LogPage>)> handler) override
     {
         this->reads.push_back({from, std::move(handler)});
     }
--- a/libs/daemon/tests/log_follower_test.cpp
+++ b/libs/daemon/tests/log_follower_test.cpp
@@ -43,7 +43,7 @@
     return state;
 }
 
-platform::LogEntry entryAt(std::uint64_t offset)
+logclient::LogEntry entryAt(std::uint64_t offset)
 {
     return {LogOffset(offset), records::encodeRecord(drainAt(offset))};
 }
@@ -98,7 +98,7 @@
 
     Fixture() { this->follower.start(); }
 
-    void answer(core::Outcome<platform::LogPage> page)
+    void answer(core::Outcome<logclient::LogPage> page)
     {
         REQUIRE(this->service.reads.size() == 1); // One read is on its way at a time.
         auto read = std::move(this->service.reads.front());
@@ -106,9 +106,9 @@
         read.answer(std::move(page));
     }
 
-    void page(std::uint64_t first, std::uint64_t next, std::vector<platform::LogEntry> entries)
+    void page(std::uint64_t first, std::uint64_t next, std::vector<logclient::LogEntry> entries)
     {
-        this->answer(platform::LogPage{LogOffset(first), LogOffset(next), std::move(entries)});
+        this->answer(logclient::LogPage{LogOffset(first), LogOffset(next), std::move(entries)});
     }
 
     std::uint64_t nextFrom() const { return this->service.reads.front().from.value; }
@@ -162,7 +162,7 @@
     Fixture fixture;
     const std::string whole = records::encodeState(stateUpTo(4));
     const auto pieces = records::splitState(LogOffset(4), whole);
-    std::vector<platform::LogEntry> entries = {entryAt(3), entryAt(4), entryAt(5)};
+    std::vector<logclient::LogEntry> entries = {entryAt(3), entryAt(4), entryAt(5)};
     std::uint64_t offset = 6;
     for (const decisions::SnapshotRecord &piece : pieces) {
         entries.push_back({LogOffset(offset), records::encodeRecord(recordAt(offset, piece))});
@@ -191,7 +191,7 @@
     Fixture fixture;
     fixture.page(1, 3, {entryAt(1), entryAt(2)});
     const auto old = records::splitState(LogOffset(1), records::encodeState(stateUpTo(1)));
-    std::vector<platform::LogEntry> entries;
+    std::vector<logclient::LogEntry> entries;
     std::uint64_t offset = 10;
     for (const decisions::SnapshotRecord &piece : old) {
         entries.push_back({LogOffset(offset), records::encodeRecord(recordAt(offset, piece))});
@@ -210,7 +210,7 @@
     Fixture fixture;
     const auto pieces = records::splitState(LogOffset(4), records::encodeState(stateUpTo(4)), 64);
     REQUIRE(pieces.size() > 1);
-    std::vector<platform::LogEntry> entries;
+    std::vector<logclient::LogEntry> entries;
     std::uint64_t offset = 5;
     const auto add = [&](const decisions::SnapshotRecord &piece) {
         entries.push_back({LogOffset(offset), records::encodeRecord(recordAt(offset, piece))});
--- a/libs/daemon/tests/peer_directory_test.cpp
+++ b/libs/daemon/tests/peer_directory_test.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-platform::ListedInstance lineOf(const std::string &name, std::uint16_t port)
+logclient::ListedInstance lineOf(const std::string &name, std::uint16_t port)
 {
     return {{core::InstanceName(name), core::Incarnation(port)},
             core::DataCentreName("gasabo"),
@@ -28,10 +28,10 @@
             false};
 }
 
-class FakeList : public platform::InstanceList
+class FakeList : public logclient::InstanceList
 {
 public:
-    using Listed = std::vector<platform::ListedInstance>;
+    using Listed = std::vector<logclient::ListedInstance>;
     using DoneHandler = std::function<void(core::Outcome<core::Done>)>;
 
     void fetch(core::Duration, std::function<void(core::Outcome<Listed>)> handler) override
@@ -39,7 +39,7 @@
         ++this->fetches;
         handler(this->listed);
     }
-    void announce(const platform::ListedInstance &line, core::Duration,
+    void announce(const logclient::ListedInstance &line, core::Duration,
                   DoneHandler handler) override
     {
         this->announced.push_back(line);
@@ -52,7 +52,7 @@
 
     core::Outcome<Listed> listed = Listed{lineOf("i1", 1), lineOf("i2", 2), lineOf("i3", 3)};
     core::Outcome<core::Done> announceResult = core::Done();
-    std::vector<platform::ListedInstance> announced;
+    std::vector<logclient::ListedInstance> announced;
     int fetches = 0;
 };
 
--- /dev/null
+++ b/libs/gateway/include/amaranthdale/gateway/statistics.h
@@ -0,0 +1,45 @@
+// Counters and latency histograms of an instance, in Prometheus text.
+#pragma once
+
+#include "amaranthdale/core/types.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace amaranthdale::gateway {
+
+/// Named counters and one latency histogram for each route. Thread-safe; its lock is a leaf.
+class Statistics
+{
+public:
+    /// Adds to the counter `name` with the label pair `label`, such as `reason="over-capacity"`.
+    void count(const std::string &name, const std::string &label = {}, std::uint64_t by = 1);
+
+    /// Enters the time that a caller waited for its final answer.
+    void observe(const std::string &route, core::Duration elapsed);
+
+    /// Prometheus text format, version 0.0.4. Times are in seconds.
+    std::string render() const;
+
+    std::uint64_t value(const std::string &name, const std::string &label = {}) const;
+
+private:
+    static constexpr std::size_t bucketCount = 12;
+    struct Histogram
+    {
+        std::array<std::uint64_t, bucketCount> buckets{};
+        std::uint64_t count = 0;
+        double sum = 0; ///< Seconds.
+    };
+
+    mutable std::mutex mutex;
+    std::map<std::string, std::map<std::string, std::uint64_t>> counters;
+    std::map<std::string, Histogram> latencies;
+};
+
+} // namespace amaranthdale::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,191 @@
+// Tables of the gateway and how changes reach them.
+#include "amaranthdale/gateway/gateway.h"
+
+#include "request_run.h"
+
+#include <algorithm>
+
+namespace amaranthdale::gateway {
+
+using tables::LockRank;
+
+Gateway::Gateway(clock::Clock &gatewayClock, core::HttpSender &httpSender,
+                 const WireFormat &wireFormat, log::EventLog &eventLog,
+                 GatewayLimits gatewayLimits)
+    : clock(gatewayClock), sender(httpSender), wire(wireFormat), events(eventLog),
+      limits(std::move(gatewayLimits)), configuration(LockRank::Configuration),
+      directory(LockRank::Membership), ownership(LockRank::Ownership),
+      balancers(LockRank::BackendServers), shareCredits(LockRank::Requests),
+      waiters(LockRank::Requests)
+{ }
+
+std::shared_ptr<core::Exchange> Gateway::handle(core::HttpRequest request,
+                                                core::ResponseHandler respond)
+{
+    return RequestRun::begin(*this, std::move(request), std::move(respond));
+}
+
+bool Gateway::setCatalogue(catalog::Catalogue catalogue)
+{
+    const std::uint64_t version = catalogue.version;
+    auto table = std::make_shared<const catalog::RouteTable>(std::move(catalogue));
+    const bool newer = this->configuration.with([&](auto &current) {
+        if (current && current->version() >= version)
+            return false;
+        current = std::move(table);
+        return true;
+    });
+    if (newer)
+        this->refreshBalancers();
+    return newer;
+}
+
+std::shared_ptr<const catalog::RouteTable> Gateway::routes() const
+{
+    return this->configuration.with([](const auto &current) { return current; });
+}
+
+void Gateway::changeDirectory(const std::function<void(catalog::Directory &)> &change)
+{
+    this->directory.with([&change](catalog::Directory &servers) { change(servers); });
+    this->refreshBalancers();
+}
+
+balance::ServiceBalancer &
+Gateway::balancerOf(std::map<core::ServiceName, balance::ServiceBalancer> &all,
+                    const core::ServiceName &service) const
+{
+    const auto found = all.find(service);
+    if (found != all.end())
+        return found->second;
+    const std::uint64_t seed = this->limits.seed + all.size();
+    return all.try_emplace(service, this->limits.retries, this->limits.dataCentre, seed)
+            .first->second;
+}
+
+void Gateway::refreshBalancers()
+{
+    const auto table = this->routes();
+    if (!table)
+        return;
+    this->directory.with([&](const catalog::Directory &servers) {
+        this->balancers.with([&](auto &all) {
+            for (const catalog::Service &service : table->services()) {
+                balance::ServiceBalancer &balancer = this->balancerOf(all, service.name);
+                balancer.setService(service);
+                balancer.setServers(servers.usable(service.name));
+                balancer.setShare({this->instanceCount});
+            }
+        });
+    });
+    this->wakeWaiters();
+}
+
+void Gateway::setInstances(unsigned instances)
+{
+    if (this->instanceCount.exchange(instances) != instances)
+        this->refreshBalancers();
+}
+
+void Gateway::setAssignment(const core::ServiceName &service, keyspace::Assignment assignment)
+{
+    auto shared = std::make_shared<const keyspace::Assignment>(std::move(assignment));
+    this->ownership.with(
+            [&](auto &services) { services[service].assignment = std::move(shared); });
+    this->wakeWaiters();
+}
+
+std::optional<core::ServerName> Gateway::ownerOf(const core::ServiceName &service,
+                                                 keyspace::Key key) const
+{
+    const auto assignment = this->ownership.with([&](const auto &services) {
+        const auto found = services.find(service);
+        return found == services.end() ? nullptr : found->second.assignment;
+    });
+    const keyspace::Holding *holding = assignment ? assignment->find(key) : nullptr;
+    if (holding == nullptr || holding->owner.name.empty())
+        return std::nullopt;
+    const bool usable = this->directory.with([holding](const catalog::Directory &servers) {
+        return servers.isUsable(holding->owner.name, holding->owner.incarnation);
+    });
+    return usable ? std::optional(holding->owner.name) : std::nullopt;
+}
+
+void Gateway::countKey(const core::ServiceName &service, keyspace::Key key)
+{
+    this->ownership.with([&](auto &services) { ++services[service].counts[key]; });
+}
+
+std::vector<keyspace::KeyCount> Gateway::takeKeyCounts(const core::ServiceName &service)
+{
+    return this->ownership.with([&](auto &services) {
+        auto &counts = services[service].counts;
+        std::vector<keyspace::KeyCount> taken(counts.begin(), counts.end());
+        counts.clear();
+        return taken;
+    });
+}
+
+std::vector<keyspace::Candidate> Gateway::candidates(const core::ServiceName &service) const
+{
+    const core::TimePoint now = this->clock.now();
+    const catalog::BackendServers usable = this->directory.with(
+            [&](const catalog::Directory &servers) { return servers.usable(service); });
+    std::vector<keyspace::Candidate> found;
+    this->balancers.with([&](auto &all) {
+        const balance::ServiceBalancer &balancer = this->balancerOf(all, service);
+        for (const catalog::BackendServer &server : usable) {
+            keyspace::Candidate candidate;
+            candidate.run = {server.name, server.incarnation};
+            candidate.capacity = balancer.capacity(server.name);
+            candidate.cold = now < server.coldUntil;
+            found.push_back(std::move(candidate));
+        }
+    });
+    return found;
+}
+
+// Smooth weighted round robin: each request adds the weights to the credits, and the service with
+// the most credit pays for it.
+core::ServiceName Gateway::chooseService(const catalog::Route &route)
+{
+    if (route.shares.size() == 1)
+        return route.shares.front().service;
+    return this->shareCredits.with([&route](auto &all) {
+        auto &credits = all[route.name];
+        double total = 0;
+        const catalog::TrafficShare *chosen = nullptr;
+        double most = 0;
+        for (const catalog::TrafficShare &share : route.shares) {
+            double &credit = credits[share.service];
+            credit += share.weight;
+            total += share.weight;
+            if (chosen == nullptr || credit > most) {
+                chosen = &share;
+                most = credit;
+            }
+        }
+        credits[chosen->service] -= total;
+        return chosen->service;
+    });
+}
+
+void Gateway::addWaiter(Waiter waiter)
+{
+    this->waiters.with([&](auto &all) { all.push_back(std::move(waiter)); });
+}
+
+void Gateway::wakeWaiters()
+{
+    const auto woken =
+            this->waiters.with([](auto &all) { return std::exchange(all, std::vector<Waiter>()); });
+    for (const Waiter &waiter : woken)
+        waiter();
+}
+
+std::size_t Gateway::requestsInProgress() const
+{
+    return this->inProgress;
+}
+
+} // namespace amaranthdale::gateway
--- a/libs/http/src/backend_client.cpp
+++ b/libs/http/src/backend_client.cpp
@@ -30,7 +30,9 @@
         exchange->dueAt = net::Deadline::now() + timeout;
         exchange->handler = std::move(handler);
         exchange->head = request.method == "HEAD";
-        exchange->repeatable = exchange->head || request.method == "GET";
+        exchange->repeatable =
+                request.repeatable.value_or(exchange->head || request.method == "GET");
+        exchange->echoed = request.echoed;
         auto header = formatRequestHeader(request, to);
         if (!header) {
             this->refuse(exchange);
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace amaranthdale::http {
 
@@ -21,6 +22,7 @@
 constexpr std::size_t headerReadBytes = 8 * 1024;
 constexpr unsigned switchingProtocols = 101;
 constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned firstRedirect = 300;
 
 // A chunk size line with extensions, or trailer fields, beyond this are refused.
 constexpr std::size_t unparsedBytes = 16 * 1024;
@@ -119,6 +121,7 @@
     if (error)
         return this->fail(core::ErrorKind::Unavailable, "connect failed: " + error.message());
     net::tuneSocket(this->socket);
+    net::watchSocket(this->socket);
     this->writeRequest();
 }
 
@@ -178,6 +181,8 @@
     this->buffer.commit(size);
     if (!this->parse())
         return;
+    if (this->skipping)
+        return this->skipResponse();
     if (this->state == State::Streaming)
         return this->deliverChunk();
     if (this->parser->is_header_done())
@@ -219,7 +224,7 @@
     if (status == switchingProtocols)
         return this->fail(core::ErrorKind::Protocol, "the server switched protocols unasked");
     if (status >= firstFinalStatus)
-        return this->deliverResponse();
+        return this->isForeign() ? this->skipResponse() : this->deliverResponse();
     // An interim response, such as 100 Continue, precedes the final one.
     this->resetParser();
     if (!this->parse())
@@ -229,8 +234,56 @@
     this->readMore(headerReadBytes);
 }
 
+// A server may answer twice; the second response then arrives where the next one is expected.
+bool ClientConnection::isForeign() const
+{
+    if (!this->current->echoed)
+        return false;
+    const auto &message = this->parser->get();
+    const auto field = message.find(this->current->echoed->name);
+    if (field == message.end())
+        return message.result_int() < firstRedirect;
+    const auto value = field->value();
+    return std::string_view(value.data(), value.size()) != this->current->echoed->value;
+}
+
+void ClientConnection::skipResponse()
+{
+    this->skipping = true;
+    this->tainted = true;
+    this->parser->get().body().clear();
+    if (!this->parser->is_done())
+        return this->readMore(this->pool->limits.chunkBytes);
+    this->skipping = false;
+    this->resetParser();
+    if (!this->parse())
+        return;
+    if (this->parser->is_header_done())
+        return this->onHeader();
+    this->readMore(headerReadBytes);
+}
+
+// Servers close idle connections; one that is about to be closed must not get a request.
+void ClientConnection::noteIdleLimit()
+{
+    this->idleLimit = this->pool->limits.idleTimeout;
+    const auto field = this->parser->get()[boost::beast::http::field::keep_alive];
+    constexpr std::string_view parameter = "timeout=";
+    const std::string_view text(field.data(), field.size());
+    const auto position = text.find(parameter);
+    if (position == std::string_view::npos)
+        return;
+    unsigned seconds = 0;
+    const char *begin = text.data() + position + parameter.size();
+    const auto parsed = std::from_chars(begin, text.data() + text.size(), seconds);
+    if (parsed.ec == std::errc())
+        this->idleLimit = std::min<core::Duration>(this->idleLimit,
+                                                   std::chrono::seconds(seconds) / 2);
+}
+
 void ClientConnection::deliverResponse()
 {
+    this->noteIdleLimit();
     auto &message = this->parser->get();
     core::HttpResponse result;
     result.status = message.result_int();
@@ -296,6 +349,8 @@
     this->repeated = true;
     ++this->socketNumber;
     this->reading = false;
+    this->skipping = false;
+    this->tainted = false;
     net::closeSocket(this->socket);
     this->connect();
     return true;
@@ -321,13 +376,13 @@
         return;
     }
     this->releasable = false;
-    if (!this->parser->keep_alive() || this->buffer.size() > 0) {
+    if (!this->parser->keep_alive() || this->buffer.size() > 0 || this->tainted) {
         this->shut();
         return this->pool->removeBusy(this->shared_from_this());
     }
     this->state = State::Idle;
     this->reused = true;
-    this->deadline.setAfter(this->pool->limits.idleTimeout);
+    this->deadline.setAfter(this->idleLimit);
     this->readMore(headerReadBytes);
     if (auto next = this->pool->release(this->shared_from_this()))
         this->begin(std::move(next));
@@ -347,11 +402,14 @@
 
 void ClientConnection::fail(core::ErrorKind kind, const std::string &reason)
 {
-    const bool unsent = this->state == State::Connecting || this->state == State::Unconnected;
+    const bool unsent = !this->repeated
+            && (this->state == State::Connecting || this->state == State::Unconnected);
     const core::Error error{unsent ? core::ErrorKind::Unavailable : kind,
                             core::formatEndpoint(this->to) + ": " + reason};
     const auto exchange = std::exchange(this->current, nullptr);
     const auto handler = std::exchange(this->chunkHandler, nullptr);
+    // Bytes of the request that are still on their way must not arrive after it was given up.
+    net::resetSocket(this->socket);
     this->shut();
     this->pool->removeBusy(this->shared_from_this());
     if (exchange)
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -52,6 +52,9 @@
     bool parse();
     void resetParser();
     void onHeader();
+    bool isForeign() const;
+    void skipResponse();
+    void noteIdleLimit();
     void deliverResponse();
     void deliverChunk();
     void onLost(const net::ErrorCode &error);
@@ -77,6 +80,9 @@
     bool reused = false;     // An earlier exchange was completed on this socket.
     bool repeated = false;   // The current exchange was sent before, on another socket.
     bool releasable = false; // Response complete; waits for the write of the request to end.
+    bool skipping = false;   // The body of a response to another request is being read.
+    bool tainted = false;    // A response to another request arrived; the socket isn't kept.
+    core::Duration idleLimit{};
     std::size_t writtenBytes = 0;
     std::uint64_t socketNumber = 0; // Tells completions of a socket that was replaced.
 };
--- a/libs/http/src/client_exchange.h
+++ b/libs/http/src/client_exchange.h
@@ -37,7 +37,8 @@
     std::string header;
     std::string body;
     bool head = false;       ///< The response has no body.
-    bool repeatable = false; ///< GET or HEAD: may be sent again on a fresh connection.
+    bool repeatable = false; ///< May be sent again on a fresh connection.
+    std::optional<core::Header> echoed; ///< Field that the response has to repeat.
     core::Duration timeout{};
     core::TimePoint dueAt;
     core::ResponseHandler handler;
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -215,7 +215,7 @@
     if (this->state != State::Answering)
         return;
     this->exchange.reset();
-    if (this->draining)
+    if (this->draining || this->shared->ending)
         this->traits.keepAlive = false;
     this->writer.start(this->shared_from_this(),
                        outcome ? std::move(*outcome) : makeFailureResponse(outcome.error()),
--- /dev/null
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -0,0 +1,197 @@
+// Decides who grants keys to backend servers, and when a range may change its owner.
+#pragma once
+
+#include "amaranthdale/keyspace/assignment.h"
+#include "amaranthdale/keyspace/key_load.h"
+#include "amaranthdale/keyspace/placement.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace amaranthdale::keyspace {
+
+/// Identifies an order until its result is known.
+using OrderId = std::uint64_t;
+
+/// Grant, or renew the grant of, `holding` to its owner.
+struct GrantOrder
+{
+    OrderId id = 0;
+    Holding holding;
+    core::Duration hold{}; ///< Counted by the owner from the arrival of the call.
+};
+
+/// Take `keys` back from `owner`.
+struct ReleaseOrder
+{
+    OrderId id = 0;
+    ServerRun owner;
+    KeyRange keys;
+    std::uint64_t fence = 0;
+};
+
+/// Append `assignment`, provided that the log still ends at `expectedEnd`.
+struct AppendOrder
+{
+    std::uint64_t expectedEnd = 0;
+    Assignment assignment;
+};
+
+using Order = std::variant<GrantOrder, ReleaseOrder, AppendOrder>;
+
+/// How a grant or release ended.
+enum class OrderResult {
+    Done,
+    Fenced,   ///< The server has seen a higher fence.
+    NotSent,  ///< The server can't have received the call.
+    NoAnswer, ///< The call may be carried out, also later.
+};
+
+/// How an append ended.
+enum class AppendResult {
+    Done,
+    Conflict, ///< The log has grown; nothing was appended.
+    Unknown,  ///< It may have been appended, or may be yet while its condition holds.
+    Refused,  ///< Nothing was done.
+};
+
+/// Times of grants. Defaults suit stores that answer within milliseconds.
+struct GranterLimits
+{
+    /// Hold of a grant. A dead server's keys are unavailable for about this long.
+    core::Duration hold = std::chrono::milliseconds(3000);
+    /// Hold while the store is away and no other instance could take over.
+    core::Duration longHold = std::chrono::seconds(10);
+    core::Duration renewal = std::chrono::milliseconds(900);
+    /// An unanswered grant is repeated after this.
+    core::Duration repeat = std::chrono::milliseconds(100);
+    /// The granter stops renewing this long after it last saw that no other has taken over; a
+    /// successor waits it out. Covers store outages.
+    core::Duration authority = std::chrono::seconds(20);
+    /// Longest way of a call to a server: calls are reset when unanswered for so long.
+    core::Duration transit = std::chrono::milliseconds(600);
+    /// A server's clock may run this much slow (registry's specification: 2%).
+    double clockDrift = 0.02;
+    core::Duration rebalance = std::chrono::seconds(1);
+    /// Wait for further servers before the first assignment.
+    core::Duration settle = std::chrono::milliseconds(1500);
+    PlacementLimits placement;
+};
+
+/// State machine of one keyed service at one instance. Every instance runs one; the one that the
+/// newest record names is the granter. No I/O; not thread-safe. Rules that keep owners apart:
+///
+/// - Only a conditional append makes an instance the granter or changes an owner, so changes are
+///   totally ordered. Fences derive from the offset of the record and rise with it.
+/// - Keys leave a server when it has released them under a fence that lies above every grant whose
+///   outcome is open, when another run of it has announced itself, or when the hold of the last
+///   grant that anyone may have sent has run out.
+/// - A granter sends nothing later than `authority` after it last saw the log without a successor;
+///   a successor counts renewals by earlier granters as possible until then, unless the server
+///   has answered it under its own fence.
+class Granter
+{
+public:
+    Granter(core::InstanceId instance, std::string peerAddress, GranterLimits granterLimits);
+
+    /// The newest record, read with a call that began at `readBegan`; `end` is the log's end.
+    /// Nothing when the log holds none.
+    void onLog(std::optional<Assignment> newest, std::uint64_t end, core::TimePoint readBegan,
+               core::TimePoint now);
+
+    /// The log answered that nothing was added before the read that began at `readBegan`.
+    void onLogUnchanged(core::TimePoint readBegan);
+
+    /// Whether the membership names this instance to be the granter.
+    void setElected(bool isElected) { this->elected = isElected; }
+
+    /// Servers that may own keys, and all runs that are known to live.
+    void setServers(std::vector<Candidate> usable, std::vector<ServerRun> known,
+                    core::TimePoint now);
+
+    void onGrant(OrderId id, OrderResult result, core::TimePoint now);
+    void onRelease(OrderId id, OrderResult result, std::string handover, core::TimePoint now);
+    void onAppend(AppendResult result, core::TimePoint now);
+
+    /// What is to be done now. `load` steers placement.
+    std::vector<Order> tick(core::TimePoint now, const KeyLoad &load);
+
+    /// True when this instance may grant.
+    bool mayGrant(core::TimePoint now) const;
+
+    /// True when the newest record names this instance.
+    bool isGranter() const;
+
+    /// True when the log has to be read before anything else can be decided.
+    bool needsLog() const { return this->stale; }
+
+    const std::optional<Assignment> &assignment() const { return this->newest; }
+    std::uint64_t logEnd() const { return this->end; }
+
+private:
+    // A range as the granter works on it. Ranges are split here first, then in the record.
+    struct Range
+    {
+        Holding holding;                ///< The fence may lie above the recorded one.
+        bool confirmed = false;         ///< The owner answered a grant under this fence.
+        bool doubtful = false;          ///< A grant under this fence went unanswered.
+        bool inherited = false;         ///< Earlier granters may still renew it at the owner.
+        unsigned failures = 0;          ///< Grants in a row that were not answered.
+        unsigned raises = 0;            ///< Grants sent only to raise the owner's fence.
+        core::TimePoint heldUntil{};    ///< End of the last grant of this instance that may count.
+        core::TimePoint heldBefore{};   ///< heldUntil before the grant in flight.
+        core::TimePoint nextGrant{};    ///< When to renew or repeat.
+        core::TimePoint nextRelease{};  ///< When to repeat a release.
+        OrderId grant = 0;              ///< In flight; 0: none.
+        OrderId release = 0;            ///< In flight; 0: none.
+        bool vacating = false;          ///< Is to leave its owner.
+        bool vacant = false;            ///< Nobody holds it any more.
+        std::optional<ServerRun> target;
+    };
+
+    void adopt(const Assignment &assignment, bool inherited);
+    void appendTakeover(std::vector<Order> &orders);
+    void appendFirst(core::TimePoint now, std::vector<Order> &orders);
+    void markVacating(core::TimePoint now);
+    std::vector<Candidate> answeringCandidates(core::TimePoint now) const;
+    core::TimePoint holdEndAfter(core::TimePoint sent, core::Duration hold) const;
+    void rebalance(core::TimePoint now, const KeyLoad &load);
+    void startMove(const Move &move);
+    void advance(Range &range, core::TimePoint now, std::vector<Order> &orders);
+    void advanceVacating(Range &range, core::TimePoint now, std::vector<Order> &orders);
+    void sendGrant(Range &range, core::TimePoint now, std::vector<Order> &orders);
+    void appendOwners(core::TimePoint now, const KeyLoad &load, std::vector<Order> &orders);
+    bool raiseFence(Range &range) const;
+    bool isKnownDead(const ServerRun &run) const;
+    core::TimePoint holdEnd(const Range &range) const;
+    std::uint64_t fenceOfNextRecord() const;
+    std::vector<Holding> holdings() const;
+
+    const core::InstanceId self;
+    const std::string peer;
+    const GranterLimits limits;
+
+    std::optional<Assignment> newest;
+    std::uint64_t end = 0;
+    bool logKnown = false;
+    bool stale = true; ///< The log has to be read again.
+    bool elected = false;
+    bool takenOver = false; ///< Another instance, or an earlier run, was the granter before.
+    core::TimePoint leadSince{};
+    core::TimePoint authorityUntil{};
+    core::TimePoint lastLogAnswer{};
+    std::optional<AppendOrder> pending; ///< An append whose outcome is open.
+    bool pendingSent = false;
+    std::vector<Candidate> candidates;
+    std::vector<ServerRun> knownRuns;
+    core::TimePoint candidatesSince{};
+    std::vector<Range> ranges; ///< Invariant: sorted, disjoint; covers every key while granter.
+    std::map<ServerRun, core::TimePoint> silentUntil; ///< Servers that get no keys for now.
+    OrderId lastOrder = 0;
+    core::TimePoint nextRebalance{};
+};
+
+} // namespace amaranthdale::keyspace
--- /dev/null
+++ b/libs/keyspace/src/granter.cpp
@@ -0,0 +1,422 @@
+// Succession of granters, grants, releases and changes of owner.
+#include "amaranthdale/keyspace/granter.h"
+
+#include <algorithm>
+
+namespace amaranthdale::keyspace {
+
+namespace {
+
+// Fences between two records, for raises that need no record.
+constexpr std::uint64_t fencesPerRecord = 1024;
+constexpr auto releaseRepeat = std::chrono::milliseconds(400);
+constexpr auto fencedRepeat = std::chrono::milliseconds(500);
+constexpr auto unreachableRepeat = std::chrono::milliseconds(250);
+
+// Grants in a row without an answer after which a server counts as silent.
+constexpr unsigned silentAfter = 3;
+// A silent server gets no further keys for this long; by then its registry entry has lapsed.
+constexpr auto silencePause = std::chrono::seconds(5);
+// Each attempt to raise the fence of an owner that doesn't answer prolongs the wait for its hold.
+constexpr unsigned mostRaises = 3;
+
+// The store counts as away when the log has not answered for so long.
+constexpr auto storeSilence = std::chrono::milliseconds(2500);
+
+} // namespace
+
+Granter::Granter(core::InstanceId instance, std::string peerAddress, GranterLimits granterLimits)
+    : self(std::move(instance)), peer(std::move(peerAddress)), limits(granterLimits)
+{ }
+
+void Granter::onLog(std::optional<Assignment> record, std::uint64_t logEnd,
+                    core::TimePoint readBegan, core::TimePoint now)
+{
+    this->logKnown = true;
+    this->stale = false;
+    this->lastLogAnswer = readBegan;
+    const bool wasGranter = this->isGranter();
+    const bool changed = logEnd != this->end || record != this->newest;
+    this->takenOver = this->takenOver || this->newest.has_value();
+    this->end = logEnd;
+    this->newest = std::move(record);
+    if (this->pending && this->pending->expectedEnd != logEnd) {
+        // Either this very record was appended, or its condition can't hold any more.
+        this->pending.reset();
+        this->pendingSent = false;
+    }
+    if (!this->isGranter()) {
+        this->ranges.clear();
+        return;
+    }
+    this->authorityUntil = std::max(this->authorityUntil, readBegan + this->limits.authority);
+    if (!wasGranter)
+        this->leadSince = now;
+    if (changed || !wasGranter)
+        this->adopt(*this->newest, !wasGranter && this->takenOver);
+}
+
+void Granter::onLogUnchanged(core::TimePoint readBegan)
+{
+    this->stale = false;
+    this->lastLogAnswer = std::max(this->lastLogAnswer, readBegan);
+    if (this->isGranter())
+        this->authorityUntil = std::max(this->authorityUntil, readBegan + this->limits.authority);
+}
+
+void Granter::setServers(std::vector<Candidate> usable, std::vector<ServerRun> known,
+                         core::TimePoint now)
+{
+    if (this->candidates.empty() && !usable.empty())
+        this->candidatesSince = now;
+    this->candidates = std::move(usable);
+    this->knownRuns = std::move(known);
+}
+
+bool Granter::isGranter() const
+{
+    return this->newest && this->newest->granter == this->self;
+}
+
+bool Granter::mayGrant(core::TimePoint now) const
+{
+    return this->isGranter() && now < this->authorityUntil;
+}
+
+std::uint64_t Granter::fenceOfNextRecord() const
+{
+    return (this->end + 1) * fencesPerRecord;
+}
+
+// Takes the record over. State of a range is kept where owner and keys lie inside a range that was
+// worked on before under the same or a raised fence.
+void Granter::adopt(const Assignment &assignment, bool inherited)
+{
+    std::vector<Range> earlier = std::move(this->ranges);
+    this->ranges.clear();
+    for (const Holding &holding : assignment.holdings) {
+        Range range;
+        range.holding = holding;
+        range.vacant = holding.owner.name.empty();
+        range.inherited = inherited;
+        const auto same = std::find_if(earlier.begin(), earlier.end(), [&](const Range &known) {
+            return known.holding.keys == holding.keys && known.holding.owner == holding.owner
+                    && known.holding.fence >= holding.fence;
+        });
+        if (same != earlier.end())
+            range = *same;
+        this->ranges.push_back(std::move(range));
+    }
+}
+
+std::vector<Holding> Granter::holdings() const
+{
+    std::vector<Holding> result;
+    result.reserve(this->ranges.size());
+    for (const Range &range : this->ranges)
+        result.push_back(range.holding);
+    return result;
+}
+
+std::vector<Order> Granter::tick(core::TimePoint now, const KeyLoad &load)
+{
+    std::vector<Order> orders;
+    if (!this->logKnown || this->stale)
+        return orders;
+    if (this->pending) {
+        if (!this->pendingSent) {
+            this->pendingSent = true;
+            orders.emplace_back(*this->pending);
+        }
+    } else if (!this->newest) {
+        if (this->elected)
+            this->appendFirst(now, orders);
+    } else if (!this->isGranter() && this->elected) {
+        this->appendTakeover(orders);
+    }
+    if (!this->mayGrant(now))
+        return orders;
+    this->markVacating(now);
+    if (now >= this->nextRebalance)
+        this->rebalance(now, load);
+    for (Range &range : this->ranges)
+        this->advance(range, now, orders);
+    if (!this->pending)
+        this->appendOwners(now, load, orders);
+    return orders;
+}
+
+void Granter::appendFirst(core::TimePoint now, std::vector<Order> &orders)
+{
+    if (this->candidates.empty() || now < this->candidatesSince + this->limits.settle)
+        return;
+    Assignment first;
+    first.granter = this->self;
+    first.granterPeer = this->peer;
+    first.holdings = placeInitially(this->candidates, this->limits.placement);
+    for (Holding &holding : first.holdings)
+        holding.fence = this->fenceOfNextRecord();
+    this->pending = AppendOrder{this->end, std::move(first)};
+    this->pendingSent = true;
+    orders.emplace_back(*this->pending);
+}
+
+void Granter::appendTakeover(std::vector<Order> &orders)
+{
+    Assignment next = *this->newest;
+    next.granter = this->self;
+    next.granterPeer = this->peer;
+    for (Holding &holding : next.holdings)
+        holding.fence = this->fenceOfNextRecord();
+    this->pending = AppendOrder{this->end, std::move(next)};
+    this->pendingSent = true;
+    orders.emplace_back(*this->pending);
+}
+
+void Granter::markVacating(core::TimePoint now)
+{
+    for (Range &range : this->ranges) {
+        if (range.vacant || range.vacating)
+            continue;
+        const bool wanted = std::any_of(this->candidates.begin(), this->candidates.end(),
+                                        [&range](const Candidate &candidate) {
+                                            return candidate.run == range.holding.owner;
+                                        });
+        const bool lost = range.failures >= silentAfter && now >= this->holdEnd(range);
+        if (lost)
+            this->silentUntil[range.holding.owner] = now + silencePause;
+        range.vacating = lost || (!wanted && !this->candidates.empty());
+    }
+}
+
+std::vector<Candidate> Granter::answeringCandidates(core::TimePoint now) const
+{
+    std::vector<Candidate> answering;
+    for (const Candidate &candidate : this->candidates) {
+        const auto silent = this->silentUntil.find(candidate.run);
+        if (silent == this->silentUntil.end() || silent->second <= now)
+            answering.push_back(candidate);
+    }
+    return answering.empty() ? this->candidates : answering;
+}
+
+void Granter::rebalance(core::TimePoint now, const KeyLoad &load)
+{
+    this->nextRebalance = now + this->limits.rebalance;
+    const bool moving = std::any_of(this->ranges.begin(), this->ranges.end(), [](const Range &r) {
+        return r.vacating || r.vacant || !r.confirmed;
+    });
+    if (moving || this->pending)
+        return;
+    for (const Move &move :
+         planMoves(this->holdings(), this->answeringCandidates(now), load, this->limits.placement))
+        this->startMove(move);
+}
+
+// Splits off the keys that move. A range with a grant in flight stays whole: the grant, applied
+// after the release, would take the released keys back.
+void Granter::startMove(const Move &move)
+{
+    const auto found =
+            std::find_if(this->ranges.begin(), this->ranges.end(), [&move](const Range &range) {
+                return range.holding.keys.contains(move.keys.first);
+            });
+    if (found == this->ranges.end() || found->grant != 0 || found->vacating
+        || !found->holding.keys.contains(move.keys.last))
+        return;
+    const KeyRange whole = found->holding.keys;
+    Range before = *found;
+    Range after = *found;
+    before.holding.keys.last = move.keys.first - 1;
+    after.holding.keys.first = move.keys.last + 1;
+    found->holding.keys = move.keys;
+    found->vacating = true;
+    found->target = move.to;
+    auto position = found - this->ranges.begin();
+    if (whole.first < move.keys.first)
+        this->ranges.insert(this->ranges.begin() + position++, std::move(before));
+    if (move.keys.last < whole.last)
+        this->ranges.insert(this->ranges.begin() + position + 1, std::move(after));
+}
+
+void Granter::advance(Range &range, core::TimePoint now, std::vector<Order> &orders)
+{
+    if (range.vacant)
+        return;
+    if (range.vacating)
+        return this->advanceVacating(range, now, orders);
+    if (range.grant == 0 && now >= range.nextGrant)
+        this->sendGrant(range, now, orders);
+}
+
+void Granter::advanceVacating(Range &range, core::TimePoint now, std::vector<Order> &orders)
+{
+    if (this->isKnownDead(range.holding.owner) || now >= this->holdEnd(range)) {
+        range.vacant = true;
+        return;
+    }
+    if (range.grant != 0 || range.release != 0 || now < range.nextRelease)
+        return;
+    // The release counts only once no open grant can be applied after it: the owner must have
+    // answered under a fence above all of them.
+    if (!range.confirmed || range.doubtful) {
+        if (range.raises >= mostRaises)
+            return; // The hold has to run out.
+        if (range.doubtful && !this->raiseFence(range))
+            return;
+        ++range.raises;
+        return this->sendGrant(range, now, orders);
+    }
+    range.release = ++this->lastOrder;
+    orders.emplace_back(ReleaseOrder{range.release, range.holding.owner, range.holding.keys,
+                                     range.holding.fence});
+}
+
+bool Granter::raiseFence(Range &range) const
+{
+    if ((range.holding.fence + 1) % fencesPerRecord == 0)
+        return false;
+    ++range.holding.fence;
+    range.confirmed = false;
+    range.doubtful = false;
+    return true;
+}
+
+void Granter::sendGrant(Range &range, core::TimePoint now, std::vector<Order> &orders)
+{
+    const bool storeAway = now - this->lastLogAnswer > storeSilence;
+    const core::Duration hold = storeAway ? this->limits.longHold : this->limits.hold;
+    range.grant = ++this->lastOrder;
+    range.heldBefore = range.heldUntil;
+    range.heldUntil = std::max(range.heldUntil, this->holdEndAfter(now, hold));
+    range.nextGrant = now + this->limits.renewal;
+    orders.emplace_back(GrantOrder{range.grant, range.holding, hold});
+}
+
+core::TimePoint Granter::holdEndAfter(core::TimePoint sent, core::Duration hold) const
+{
+    const auto drift = std::chrono::duration_cast<core::Duration>(hold * this->limits.clockDrift);
+    return sent + this->limits.transit + hold + drift;
+}
+
+bool Granter::isKnownDead(const ServerRun &run) const
+{
+    return std::any_of(this->knownRuns.begin(), this->knownRuns.end(),
+                       [&run](const ServerRun &known) {
+                           return known.name == run.name && known.incarnation != run.incarnation;
+                       });
+}
+
+// When no grant that anyone may have sent can still be in force. An earlier granter may go on
+// until its authority ends, and may use the long hold; the owner refuses it once it has answered a
+// grant under a fence of this instance.
+core::TimePoint Granter::holdEnd(const Range &range) const
+{
+    if (!range.inherited)
+        return range.heldUntil;
+    const core::TimePoint lastInherited = this->leadSince + this->limits.authority;
+    return std::max(range.heldUntil, this->holdEndAfter(lastInherited, this->limits.longHold));
+}
+
+void Granter::appendOwners(core::TimePoint now, const KeyLoad &load, std::vector<Order> &orders)
+{
+    std::vector<KeyRange> vacant;
+    for (const Range &range : this->ranges) {
+        if (range.vacant && !range.target)
+            vacant.push_back(range.holding.keys);
+    }
+    const bool targeted = std::any_of(this->ranges.begin(), this->ranges.end(), [](const Range &r) {
+        return r.vacant && r.target;
+    });
+    if (this->candidates.empty() || (vacant.empty() && !targeted))
+        return;
+    const auto owners = placeVacant(vacant, this->holdings(), this->answeringCandidates(now), load);
+    Assignment next;
+    next.granter = this->self;
+    next.granterPeer = this->peer;
+    auto owner = owners.begin();
+    for (const Range &range : this->ranges) {
+        Holding holding = range.holding;
+        if (range.vacant) {
+            holding.owner = range.target ? *range.target : *owner++;
+            holding.fence = this->fenceOfNextRecord();
+        }
+        next.holdings.push_back(std::move(holding));
+    }
+    this->pending = AppendOrder{this->end, std::move(next)};
+    this->pendingSent = true;
+    orders.emplace_back(*this->pending);
+}
+
+void Granter::onGrant(OrderId id, OrderResult result, core::TimePoint now)
+{
+    const auto found = std::find_if(this->ranges.begin(), this->ranges.end(),
+                                    [id](const Range &range) { return range.grant == id; });
+    if (found == this->ranges.end())
+        return;
+    found->grant = 0;
+    switch (result) {
+    case OrderResult::Done:
+        found->confirmed = true;
+        found->inherited = false;
+        found->failures = 0;
+        found->holding.handover.clear(); // Spent: the next owner needs a new one.
+        break;
+    case OrderResult::NoAnswer:
+        found->doubtful = true;
+        ++found->failures;
+        found->nextGrant = now + this->limits.repeat;
+        break;
+    case OrderResult::NotSent:
+        found->heldUntil = found->heldBefore;
+        ++found->failures;
+        found->nextGrant = now + unreachableRepeat;
+        found->nextRelease = now + unreachableRepeat;
+        break;
+    case OrderResult::Fenced:
+        // Only a successor's fence can lie above: the next read of the log tells.
+        this->stale = true;
+        found->nextGrant = now + fencedRepeat;
+        found->nextRelease = now + fencedRepeat;
+        break;
+    }
+}
+
+void Granter::onRelease(OrderId id, OrderResult result, std::string handover, core::TimePoint now)
+{
+    const auto found = std::find_if(this->ranges.begin(), this->ranges.end(),
+                                    [id](const Range &range) { return range.release == id; });
+    if (found == this->ranges.end())
+        return;
+    found->release = 0;
+    if (result == OrderResult::Done) {
+        found->vacant = true;
+        found->holding.handover = std::move(handover);
+        return;
+    }
+    found->nextRelease = now + releaseRepeat;
+}
+
+void Granter::onAppend(AppendResult result, core::TimePoint now)
+{
+    if (!this->pending)
+        return;
+    this->pendingSent = false;
+    if (result == AppendResult::Done) {
+        const AppendOrder done = *std::exchange(this->pending, std::nullopt);
+        // The append began later than any read before it and proves that nothing lay between.
+        this->onLog(done.assignment, done.expectedEnd + 1, this->lastLogAnswer, now);
+        return;
+    }
+    if (result == AppendResult::Conflict) {
+        this->pending.reset();
+        this->stale = true;
+        return;
+    }
+    if (result == AppendResult::Refused)
+        this->pending.reset();
+    // Unknown: the same append is repeated; it takes effect once, as its condition holds once.
+    this->stale = true;
+}
+
+} // namespace amaranthdale::keyspace
--- a/libs/log/include/amaranthdale/log/event_log.h
+++ b/libs/log/include/amaranthdale/log/event_log.h
@@ -56,6 +56,10 @@
 /// error.
 std::unique_ptr<LineSink> makeStandardErrorSink();
 
+/// A sink that directs the same logger to standard output. Lines that the reader does not take at
+/// once are dropped and counted.
+std::unique_ptr<LineSink> makeStandardOutputSink();
+
 /// Bounds of a log.
 struct LogLimits
 {
--- a/libs/platform/include/amaranthdale/platform/instance_list.h
+++ b/libs/logclient/include/amaranthdale/logclient/instance_list.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-namespace amaranthdale::platform {
+namespace amaranthdale::logclient {
 
 /// An instance as the list shows it; the list lags behind the truth.
 struct ListedInstance
@@ -38,4 +38,4 @@
 /// Client of the list at `endpoint` over `sender`, which must outlive it.
 std::unique_ptr<InstanceList> makeInstanceList(core::HttpSender &sender, core::Endpoint endpoint);
 
-} // namespace amaranthdale::platform
+} // namespace amaranthdale::logclient
--- a/libs/platform/include/amaranthdale/platform/log_service.h
+++ b/libs/logclient/include/amaranthdale/logclient/log_service.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace amaranthdale::platform {
+namespace amaranthdale::logclient {
 
 /// A record as the log holds it; the body is opaque to the log.
 struct LogEntry
@@ -47,4 +47,4 @@
 std::unique_ptr<LogService> makeLogService(core::HttpSender &sender, core::Endpoint endpoint,
                                            std::string stream);
 
-} // namespace amaranthdale::platform
+} // namespace amaranthdale::logclient
--- a/libs/platform/src/instance_list.cpp
+++ b/libs/logclient/src/instance_list.cpp
@@ -1,12 +1,12 @@
 // Client of the instance list over HTTP.
-#include "amaranthdale/platform/instance_list.h"
+#include "amaranthdale/logclient/instance_list.h"
 
 #include "json_exchange.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-namespace amaranthdale::platform {
+namespace amaranthdale::logclient {
 
 namespace {
 
@@ -105,4 +105,4 @@
     return std::make_unique<HttpInstanceList>(sender, std::move(endpoint));
 }
 
-} // namespace amaranthdale::platform
+} // namespace amaranthdale::logclient
--- a/libs/platform/src/json_exchange.cpp
+++ b/libs/logclient/src/json_exchange.cpp
@@ -1,7 +1,7 @@
 // One request with a whole response body.
 #include "json_exchange.h"
 
-namespace amaranthdale::platform::detail {
+namespace amaranthdale::logclient::detail {
 
 namespace {
 
@@ -49,4 +49,4 @@
     sender.send(to, std::move(request), timeout, std::move(onResponse));
 }
 
-} // namespace amaranthdale::platform::detail
+} // namespace amaranthdale::logclient::detail
--- a/libs/platform/src/json_exchange.h
+++ b/libs/logclient/src/json_exchange.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace amaranthdale::platform::detail {
+namespace amaranthdale::logclient::detail {
 
 /// Bound on a response, so that a faulty service can't exhaust memory.
 inline constexpr std::size_t mostResponseBytes = 64 * 1024 * 1024;
@@ -36,4 +36,4 @@
     return value;
 }
 
-} // namespace amaranthdale::platform::detail
+} // namespace amaranthdale::logclient::detail
--- a/libs/platform/src/log_service.cpp
+++ b/libs/logclient/src/log_service.cpp
@@ -1,12 +1,12 @@
 // Client of the log service over HTTP.
-#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/logclient/log_service.h"
 
 #include "json_exchange.h"
 
 #include <algorithm>
 #include <limits>
 
-namespace amaranthdale::platform {
+namespace amaranthdale::logclient {
 
 namespace {
 
@@ -107,4 +107,4 @@
     return std::make_unique<HttpLogService>(sender, std::move(endpoint), std::move(stream));
 }
 
-} // namespace amaranthdale::platform
+} // namespace amaranthdale::logclient
--- a/libs/platform/tests/clients_test.cpp
+++ b/libs/logclient/tests/clients_test.cpp
@@ -1,11 +1,11 @@
 // Tests of the clients: a wrong verdict on an append can lose or repeat a change.
-#include "amaranthdale/platform/instance_list.h"
-#include "amaranthdale/platform/log_service.h"
+#include "amaranthdale/logclient/instance_list.h"
+#include "amaranthdale/logclient/log_service.h"
 
 #include <doctest/doctest.h>
 
 using namespace amaranthdale;
-using namespace amaranthdale::platform;
+using namespace amaranthdale::logclient;
 using namespace std::chrono_literals;
 
 namespace {
--- a/libs/net/include/amaranthdale/net/listener.h
+++ b/libs/net/include/amaranthdale/net/listener.h
@@ -4,6 +4,7 @@
 #include "amaranthdale/net/acceptor.h"
 #include "amaranthdale/net/handler_gate.h"
 
+#include <atomic>
 #include <memory>
 #include <utility>
 
@@ -20,6 +21,7 @@
     HandlerGate gate;
     ConnectionSet connections;
     const Limits limits;
+    std::atomic<bool> ending{false}; ///< Responses end their connections.
 };
 
 /// A listener whose transport starts a connection for each accepted socket.
@@ -55,6 +57,8 @@
 
     core::Endpoint localEndpoint() const override { return this->bound; }
 
+    void endConnections() override { this->shared->ending = true; }
+
     void drain(std::function<void()> drained) override
     {
         this->acceptor->stop();
--- a/libs/net/include/amaranthdale/net/socket.h
+++ b/libs/net/include/amaranthdale/net/socket.h
@@ -24,6 +24,10 @@
 /// peer that vanished without closing is noticed.
 void tuneSocket(Socket &socket);
 
+/// Probes the other side while the connection is silent, so that a pending read ends within about
+/// `3 s` when the path was lost without a reset.
+void watchSocket(Socket &socket);
+
 /// Closes without an error; a socket that is already closed is left alone.
 void closeSocket(Socket &socket);
 
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -13,6 +13,14 @@
 // about 15 minutes, and a healed network would be used only after the last back-off.
 constexpr unsigned unacknowledgedMilliseconds = 3000;
 
+// Silence after which probes start, their distance, and how many may go unanswered.
+constexpr int probeAfterSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int mostLostProbes = 2;
+
+using ProbeAfter = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using ProbeInterval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using LostProbes = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 } // namespace
@@ -39,6 +47,15 @@
     socket.set_option(UserTimeout(unacknowledgedMilliseconds), ignored);
 }
 
+void watchSocket(Socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(ProbeAfter(probeAfterSeconds), ignored);
+    socket.set_option(ProbeInterval(probeIntervalSeconds), ignored);
+    socket.set_option(LostProbes(mostLostProbes), ignored);
+}
+
 void closeSocket(Socket &socket)
 {
     ErrorCode ignored;
--- a/tools/instance_list_standin/list_handler.cpp
+++ b/tools/instance_list_standin/list_handler.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-using platform::ListedInstance;
+using logclient::ListedInstance;
 using records::ObjectReader;
 using records::Presence;
 
--- a/tools/instance_list_standin/list_handler.h
+++ b/tools/instance_list_standin/list_handler.h
@@ -3,7 +3,7 @@
 
 #include "amaranthdale/clock/clock.h"
 #include "amaranthdale/core/message.h"
-#include "amaranthdale/platform/instance_list.h"
+#include "amaranthdale/logclient/instance_list.h"
 #include "amaranthdale/tables/guarded.h"
 
 #include <deque>
@@ -28,7 +28,7 @@
                                            core::ResponseHandler respond) override;
 
 private:
-    using Instances = std::map<core::InstanceName, platform::ListedInstance>;
+    using Instances = std::map<core::InstanceName, logclient::ListedInstance>;
 
     // The list from a moment on.
     struct Version
