Name the server in grants and raise the fence after a failed one

Change: grants and releases name the server that they are meant for; a server that is another one answers 421, which also proves that the owner has ended. A failed grant raises the fence of the next one, so that an earlier run under the same name never gives its fence to the next.

--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -46,6 +46,7 @@
 enum class OrderResult {
     Done,
     Fenced,   ///< The server has seen a higher fence.
+    Gone,     ///< Another server has the address, so the owner has ended.
     NotSent,  ///< The server can't have received the call.
     NoAnswer, ///< The call may be carried out, also later.
 };
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -262,8 +262,8 @@
     if (!range.confirmed || range.doubtful) {
         if (range.raises >= mostRaises)
             return; // The hold has to run out.
-        if (range.doubtful && !this->raiseFence(range))
-            return;
+        if (range.doubtful)
+            return; // No fence is left to raise: the hold has to run out.
         ++range.raises;
         return this->sendGrant(range, now, orders);
     }
@@ -272,6 +272,9 @@
                                      range.holding.fence});
 }
 
+// After a failed grant the next one gets a higher fence: the failed one may be applied late, and
+// the server may have restarted under its name, in which case keys must not come back to it under
+// the fence that its earlier run had.
 bool Granter::raiseFence(Range &range) const
 {
     if ((range.holding.fence + 1) % fencesPerRecord == 0)
@@ -363,13 +366,19 @@
         found->holding.handover.clear(); // Spent: the next owner needs a new one.
         break;
     case OrderResult::NoAnswer:
-        found->doubtful = true;
+        found->doubtful = !this->raiseFence(*found);
         ++found->failures;
         found->nextGrant = now + this->limits.repeat;
         break;
+    case OrderResult::Gone:
+        found->heldUntil = found->heldBefore;
+        found->vacating = true;
+        found->vacant = true;
+        break;
     case OrderResult::NotSent:
         found->heldUntil = found->heldBefore;
         ++found->failures;
+        this->raiseFence(*found);
         found->nextGrant = now + unreachableRepeat;
         found->nextRelease = now + unreachableRepeat;
         break;
@@ -389,7 +398,7 @@
     if (found == this->ranges.end())
         return;
     found->release = 0;
-    if (result == OrderResult::Done) {
+    if (result == OrderResult::Done || result == OrderResult::Gone) {
         found->vacant = true;
         found->holding.handover = std::move(handover);
         return;
