--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -9,14 +9,14 @@
 
 // The granter reads often, as each read extends its authority; others only wait for news.
 constexpr auto granterWait = std::chrono::milliseconds(900);
-constexpr auto followerWait = std::chrono::seconds(15);
+constexpr auto followerWait = std::chrono::seconds(3);
 constexpr auto readRetry = std::chrono::milliseconds(300);
 constexpr auto granterTick = std::chrono::milliseconds(100);
 constexpr auto followerTick = std::chrono::milliseconds(250);
-constexpr auto reportInterval = std::chrono::seconds(1);
+constexpr auto reportInterval = std::chrono::milliseconds(500);
 
-// Counts halve in about 2 s, so that a new hot range outweighs the past within seconds.
-constexpr float decayPerReport = 0.7F;
+// Counts halve in about 1.5 s, so that a new hot range outweighs the past within seconds.
+constexpr float decayPerReport = 0.8F;
 
 } // namespace
 
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -313,8 +313,6 @@
         return false;
     if (ran && this->attempts >= this->route->attempts)
         return false;
-    if (ran && this->request.key)
-        return false; // Only the owner could run it, and has just failed it.
     return this->gateway.balancers.with([this](auto &all) {
         return this->gateway.balancerOf(all, this->service).takeRetry();
     });
@@ -398,7 +396,7 @@
                  {"owner", this->demand.owner ? this->demand.owner->value : ""},
                  {"sends", std::to_string(this->sends)},
                  {"elapsed", formatSeconds(elapsed)},
-                 {"left", formatSeconds(this->left())},
+                 {"left", this->route == nullptr ? "" : formatSeconds(this->left())},
                  {"configuration", this->table ? std::to_string(this->table->version()) : ""}});
     }
     this->respond(std::move(response));
--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -76,7 +76,9 @@
     core::Duration transit = std::chrono::milliseconds(600);
     /// A server's clock may run this much slow (registry's specification: 2%).
     double clockDrift = 0.02;
-    core::Duration rebalance = std::chrono::seconds(1);
+    core::Duration rebalance = std::chrono::milliseconds(500);
+    /// Longest wait for further vacant ranges before a record names new owners.
+    core::Duration batch = std::chrono::milliseconds(80);
     /// Wait for further servers before the first assignment.
     core::Duration settle = std::chrono::milliseconds(1500);
     PlacementLimits placement;
@@ -193,6 +195,7 @@
     std::map<ServerRun, core::TimePoint> silentUntil; ///< Servers that get no keys for now.
     OrderId lastOrder = 0;
     core::TimePoint nextRebalance{};
+    core::TimePoint vacantSince{}; ///< Last time without a vacant range.
 };
 
 } // namespace amaranthdale::keyspace
--- a/libs/keyspace/include/amaranthdale/keyspace/key_load.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/key_load.h
@@ -27,9 +27,9 @@
     /// Sum of the counts of a range.
     double sum(KeyRange range) const;
 
-    /// The last key of the shortest prefix of `range` whose counts reach `wanted`. Less than the
-    /// range's last key, so that a rest remains.
-    Key splitPoint(KeyRange range, double wanted) const;
+    /// The last key of the shortest prefix of `range` whose counts, with `perKey` added to each,
+    /// reach `wanted`. Less than the range's last key, so that a rest remains.
+    Key splitPoint(KeyRange range, double perKey, double wanted) const;
 
 private:
     std::vector<float> weights;
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -331,7 +331,15 @@
     const bool targeted = std::any_of(this->ranges.begin(), this->ranges.end(), [](const Range &r) {
         return r.vacant && r.target;
     });
-    if (this->candidates.empty() || (vacant.empty() && !targeted))
+    if (this->candidates.empty() || (vacant.empty() && !targeted)) {
+        this->vacantSince = now;
+        return;
+    }
+    // Every record is read by all instances, so ranges that are about to become vacant are waited
+    // for a little.
+    const bool releasing = std::any_of(this->ranges.begin(), this->ranges.end(),
+                                       [](const Range &r) { return r.release != 0; });
+    if (releasing && now < this->vacantSince + this->limits.batch)
         return;
     const auto owners = placeVacant(vacant, this->holdings(), this->answeringCandidates(now), load);
     Assignment next;
--- a/libs/keyspace/src/key_load.cpp
+++ b/libs/keyspace/src/key_load.cpp
@@ -30,11 +30,11 @@
     return total;
 }
 
-Key KeyLoad::splitPoint(KeyRange range, double wanted) const
+Key KeyLoad::splitPoint(KeyRange range, double perKey, double wanted) const
 {
     double total = 0;
     for (Key key = range.first; key < range.last; ++key) {
-        total += this->weights[key];
+        total += this->weights[key] + perKey;
         if (total >= wanted)
             return key;
     }
--- a/libs/keyspace/src/placement.cpp
+++ b/libs/keyspace/src/placement.cpp
@@ -81,6 +81,9 @@
         return capacity > 0 ? load / capacity : 0;
     }
 
+    /// Load that each key is taken to have besides its counts.
+    double evenLoad() const { return this->perKey; }
+
     double totalRequests() const { return this->total; }
 
 private:
@@ -117,8 +120,8 @@
         return best;
     if (!maySplit || !heaviest || heaviest->size() < 2)
         return best;
-    const double share = std::min(excess, heaviestLoad / 2) / heaviestLoad;
-    const Key last = load.splitPoint(*heaviest, share * load.sum(*heaviest));
+    const Key last = load.splitPoint(*heaviest, model.evenLoad(),
+                                     std::min(excess, heaviestLoad / 2));
     return KeyRange{heaviest->first, last};
 }
 
