--- a/libs/control/include/amaranthdale/control/key_control.h
+++ b/libs/control/include/amaranthdale/control/key_control.h
@@ -48,6 +48,7 @@
         keyspace::Granter granter;
         keyspace::KeyLoad load;
         core::TimePoint nextReport{};
+        core::TimePoint nextOneShot{}; ///< Each read is paid for.
         bool oneShotRead = false; ///< A read besides the long one is in progress.
         bool wasGranter = false;
     };
--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -26,7 +26,7 @@
     : parts(controlParts), service(std::move(keyedService)), self(instance),
       peer(peerAddress), state(tables::LockRank::Ownership,
                                State{keyspace::Granter(instance, peerAddress, granterLimits),
-                                     keyspace::KeyLoad(), {}, false, false})
+                                     keyspace::KeyLoad(), {}, {}, false, false})
 { }
 
 void KeyControl::start()
@@ -89,7 +89,7 @@
         if (outcome->changed)
             current.granter.onLog(std::move(outcome->newest), outcome->end, began, now);
         else
-            current.granter.onLogUnchanged(began);
+            current.granter.onLogUnchanged(began, now);
     });
     if (!failed && outcome->changed)
         this->publish();
@@ -139,21 +139,19 @@
         return;
     const core::TimePoint now = this->parts.clock.uptime();
     const auto candidates = this->parts.gateway.candidates(this->service);
-    std::vector<keyspace::ServerRun> known;
-    this->parts.gateway.withDirectory([&](const catalog::Directory &servers) {
-        for (const catalog::BackendServer &server : servers.all(this->service))
-            known.push_back({server.name, server.incarnation});
-    });
     const bool elected = this->parts.election.isElected(this->service);
     bool read = false;
     bool became = false;
     bool granter = false;
     const auto orders = this->state.with([&](State &current) {
         current.granter.setElected(elected);
-        current.granter.setServers(candidates, known, now);
+        current.granter.setServers(candidates, now);
         auto due = current.granter.tick(now, current.load);
-        read = current.granter.needsLog() && !current.oneShotRead && current.granter.logEnd() > 0;
+        read = current.granter.needsLog() && !current.oneShotRead && current.granter.logEnd() > 0
+                && now >= current.nextOneShot;
         current.oneShotRead = current.oneShotRead || read;
+        if (read)
+            current.nextOneShot = now + readRetry;
         granter = current.granter.isGranter();
         became = granter != current.wasGranter;
         current.wasGranter = granter;
@@ -177,12 +175,13 @@
     this->append(std::get<keyspace::AppendOrder>(order));
 }
 
+// A later run of the owner takes calls that are meant for it, releases among them.
 std::optional<core::Endpoint> KeyControl::endpointOf(const keyspace::ServerRun &run) const
 {
     return this->parts.gateway.withDirectory(
             [&run](const catalog::Directory &servers) -> std::optional<core::Endpoint> {
                 const catalog::BackendServer *server = servers.find(run.name);
-                if (server == nullptr || server->incarnation != run.incarnation)
+                if (server == nullptr)
                     return std::nullopt;
                 return server->endpoint;
             });
@@ -242,7 +241,7 @@
                 if (!control)
                     return;
                 control->state.with([&](State &current) {
-                    current.granter.onAppend(result, control->parts.clock.uptime());
+                    current.granter.onAppend(order.id, result, control->parts.clock.uptime());
                 });
                 const bool done = result == keyspace::AppendResult::Done;
                 control->parts.events.write(
--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -36,6 +36,7 @@
 /// Append `assignment`, provided that the log still ends at `expectedEnd`.
 struct AppendOrder
 {
+    OrderId id = 0;
     std::uint64_t expectedEnd = 0;
     Assignment assignment;
 };
@@ -90,8 +91,9 @@
 /// - Only a conditional append makes an instance the granter or changes an owner, so changes are
 ///   totally ordered. Fences derive from the offset of the record and rise with it.
 /// - Keys leave a server when it has released them under a fence that lies above every grant whose
-///   outcome is open, when another run of it has announced itself, or when the hold of the last
-///   grant that anyone may have sent has run out.
+///   outcome is open, when another server has taken over its address, or when the hold of the last
+///   grant that anyone may have sent has run out. A server that has restarted under its name is no
+///   exception: its new run may have taken renewals that were meant for the old one.
 /// - A granter sends nothing later than `authority` after it last saw the log without a successor;
 ///   a successor counts renewals by earlier granters as possible until then, unless the server
 ///   has answered it under its own fence.
@@ -106,18 +108,18 @@
                core::TimePoint now);
 
     /// The log answered that nothing was added before the read that began at `readBegan`.
-    void onLogUnchanged(core::TimePoint readBegan);
+    void onLogUnchanged(core::TimePoint readBegan, core::TimePoint now);
 
     /// Whether the membership names this instance to be the granter.
     void setElected(bool isElected) { this->elected = isElected; }
 
-    /// Servers that may own keys, and all runs that are known to live.
-    void setServers(std::vector<Candidate> usable, std::vector<ServerRun> known,
-                    core::TimePoint now);
+    /// Servers that may own keys.
+    void setServers(std::vector<Candidate> usable, core::TimePoint now);
 
     void onGrant(OrderId id, OrderResult result, core::TimePoint now);
     void onRelease(OrderId id, OrderResult result, std::string handover, core::TimePoint now);
-    void onAppend(AppendResult result, core::TimePoint now);
+    /// Results of appends that are no longer pending are ignored: the log has told their outcome.
+    void onAppend(OrderId id, AppendResult result, core::TimePoint now);
 
     /// What is to be done now. `load` steers placement.
     std::vector<Order> tick(core::TimePoint now, const KeyLoad &load);
@@ -146,6 +148,7 @@
         unsigned raises = 0;            ///< Grants sent only to raise the owner's fence.
         core::TimePoint heldUntil{};    ///< End of the last grant of this instance that may count.
         core::TimePoint heldBefore{};   ///< heldUntil before the grant in flight.
+        core::TimePoint lastSent{};     ///< When a grant was sent last.
         core::TimePoint nextGrant{};    ///< When to renew or repeat.
         core::TimePoint nextRelease{};  ///< When to repeat a release.
         OrderId grant = 0;              ///< In flight; 0: none.
@@ -157,6 +160,7 @@
 
     void adopt(const Assignment &assignment, bool inherited);
     void appendTakeover(std::vector<Order> &orders);
+    void propose(Assignment assignment, std::vector<Order> &orders);
     void appendFirst(core::TimePoint now, std::vector<Order> &orders);
     void markVacating(core::TimePoint now);
     std::vector<Candidate> answeringCandidates(core::TimePoint now) const;
@@ -168,7 +172,6 @@
     void sendGrant(Range &range, core::TimePoint now, std::vector<Order> &orders);
     void appendOwners(core::TimePoint now, const KeyLoad &load, std::vector<Order> &orders);
     bool raiseFence(Range &range) const;
-    bool isKnownDead(const ServerRun &run) const;
     core::TimePoint holdEnd(const Range &range) const;
     std::uint64_t fenceOfNextRecord() const;
     std::vector<Holding> holdings() const;
@@ -185,11 +188,12 @@
     bool takenOver = false; ///< Another instance, or an earlier run, was the granter before.
     core::TimePoint leadSince{};
     core::TimePoint authorityUntil{};
-    core::TimePoint lastLogAnswer{};
+    core::TimePoint lastLogAnswer{}; ///< Start of the last read that was answered.
+    core::TimePoint lastLogHeard{};  ///< When the log answered last.
     std::optional<AppendOrder> pending; ///< An append whose outcome is open.
     bool pendingSent = false;
+    bool pendingDoubtful = false; ///< A copy of it may be appended late.
     std::vector<Candidate> candidates;
-    std::vector<ServerRun> knownRuns;
     core::TimePoint candidatesSince{};
     std::vector<Range> ranges; ///< Invariant: sorted, disjoint; covers every key while granter.
     std::map<ServerRun, core::TimePoint> silentUntil; ///< Servers that get no keys for now.
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -35,6 +35,7 @@
     this->logKnown = true;
     this->stale = false;
     this->lastLogAnswer = readBegan;
+    this->lastLogHeard = now;
     const bool wasGranter = this->isGranter();
     const bool changed = logEnd != this->end || record != this->newest;
     this->takenOver = this->takenOver || this->newest.has_value();
@@ -56,21 +57,20 @@
         this->adopt(*this->newest, !wasGranter && this->takenOver);
 }
 
-void Granter::onLogUnchanged(core::TimePoint readBegan)
+void Granter::onLogUnchanged(core::TimePoint readBegan, core::TimePoint now)
 {
     this->stale = false;
     this->lastLogAnswer = std::max(this->lastLogAnswer, readBegan);
+    this->lastLogHeard = now;
     if (this->isGranter())
         this->authorityUntil = std::max(this->authorityUntil, readBegan + this->limits.authority);
 }
 
-void Granter::setServers(std::vector<Candidate> usable, std::vector<ServerRun> known,
-                         core::TimePoint now)
+void Granter::setServers(std::vector<Candidate> usable, core::TimePoint now)
 {
     if (this->candidates.empty() && !usable.empty())
         this->candidatesSince = now;
     this->candidates = std::move(usable);
-    this->knownRuns = std::move(known);
 }
 
 bool Granter::isGranter() const
@@ -121,9 +121,11 @@
 std::vector<Order> Granter::tick(core::TimePoint now, const KeyLoad &load)
 {
     std::vector<Order> orders;
-    if (!this->logKnown || this->stale)
+    if (!this->logKnown)
         return orders;
-    if (this->pending) {
+    if (this->stale) {
+        // Grants in force are renewed all the same: the log may be away for long.
+    } else if (this->pending) {
         if (!this->pendingSent) {
             this->pendingSent = true;
             orders.emplace_back(*this->pending);
@@ -141,7 +143,7 @@
         this->rebalance(now, load);
     for (Range &range : this->ranges)
         this->advance(range, now, orders);
-    if (!this->pending)
+    if (!this->pending && !this->stale)
         this->appendOwners(now, load, orders);
     return orders;
 }
@@ -156,9 +158,7 @@
     first.holdings = placeInitially(this->candidates, this->limits.placement);
     for (Holding &holding : first.holdings)
         holding.fence = this->fenceOfNextRecord();
-    this->pending = AppendOrder{this->end, std::move(first)};
-    this->pendingSent = true;
-    orders.emplace_back(*this->pending);
+    this->propose(std::move(first), orders);
 }
 
 void Granter::appendTakeover(std::vector<Order> &orders)
@@ -168,8 +168,14 @@
     next.granterPeer = this->peer;
     for (Holding &holding : next.holdings)
         holding.fence = this->fenceOfNextRecord();
-    this->pending = AppendOrder{this->end, std::move(next)};
+    this->propose(std::move(next), orders);
+}
+
+void Granter::propose(Assignment assignment, std::vector<Order> &orders)
+{
+    this->pending = AppendOrder{++this->lastOrder, this->end, std::move(assignment)};
     this->pendingSent = true;
+    this->pendingDoubtful = false;
     orders.emplace_back(*this->pending);
 }
 
@@ -251,7 +257,7 @@
 
 void Granter::advanceVacating(Range &range, core::TimePoint now, std::vector<Order> &orders)
 {
-    if (this->isKnownDead(range.holding.owner) || now >= this->holdEnd(range)) {
+    if (now >= this->holdEnd(range)) {
         range.vacant = true;
         return;
     }
@@ -287,8 +293,12 @@
 
 void Granter::sendGrant(Range &range, core::TimePoint now, std::vector<Order> &orders)
 {
-    const bool storeAway = now - this->lastLogAnswer > storeSilence;
+    const bool storeAway = now - this->lastLogHeard > storeSilence;
     const core::Duration hold = storeAway ? this->limits.longHold : this->limits.hold;
+    // After a pause, such as a suspension of this machine, the owner may have restarted unnoticed.
+    if (range.confirmed && now - range.lastSent > 2 * this->limits.renewal)
+        this->raiseFence(range);
+    range.lastSent = now;
     range.grant = ++this->lastOrder;
     range.heldBefore = range.heldUntil;
     range.heldUntil = std::max(range.heldUntil, this->holdEndAfter(now, hold));
@@ -302,14 +312,6 @@
     return sent + this->limits.transit + hold + drift;
 }
 
-bool Granter::isKnownDead(const ServerRun &run) const
-{
-    return std::any_of(this->knownRuns.begin(), this->knownRuns.end(),
-                       [&run](const ServerRun &known) {
-                           return known.name == run.name && known.incarnation != run.incarnation;
-                       });
-}
-
 // When no grant that anyone may have sent can still be in force. An earlier granter may go on
 // until its authority ends, and may use the long hold; the owner refuses it once it has answered a
 // grant under a fence of this instance.
@@ -354,9 +356,7 @@
         }
         next.holdings.push_back(std::move(holding));
     }
-    this->pending = AppendOrder{this->end, std::move(next)};
-    this->pendingSent = true;
-    orders.emplace_back(*this->pending);
+    this->propose(std::move(next), orders);
 }
 
 void Granter::onGrant(OrderId id, OrderResult result, core::TimePoint now)
@@ -368,6 +368,10 @@
     found->grant = 0;
     switch (result) {
     case OrderResult::Done:
+        // A longer grant of an earlier granter stays in force beside a renewal that is shorter.
+        if (found->inherited)
+            found->heldUntil = std::max(found->heldUntil,
+                                        this->holdEndAfter(now, this->limits.longHold));
         found->confirmed = true;
         found->inherited = false;
         found->failures = 0;
@@ -414,9 +418,9 @@
     found->nextRelease = now + releaseRepeat;
 }
 
-void Granter::onAppend(AppendResult result, core::TimePoint now)
+void Granter::onAppend(OrderId id, AppendResult result, core::TimePoint now)
 {
-    if (!this->pending)
+    if (!this->pending || this->pending->id != id)
         return;
     this->pendingSent = false;
     if (result == AppendResult::Done) {
@@ -430,9 +434,11 @@
         this->stale = true;
         return;
     }
-    if (result == AppendResult::Refused)
+    // An append whose outcome is open is repeated as it is, and takes effect once, as its condition
+    // holds once. A different one could meet a late copy of it.
+    this->pendingDoubtful = this->pendingDoubtful || result == AppendResult::Unknown;
+    if (result == AppendResult::Refused && !this->pendingDoubtful)
         this->pending.reset();
-    // Unknown: the same append is repeated; it takes effect once, as its condition holds once.
     this->stale = true;
 }
 
