Let a replaced granter step down; move keys beside stuck ranges

Change: a new granter asks the one that it replaced to step down; a later run of that instance answers for it. Records say whether earlier granters may still send (settled). Stuck ranges no longer keep others from moving. Each instance uses its share of a server's connections. The longest hold is 6 s instead of 10 s, authority 15 s instead of 20 s.

--- a/libs/balance/include/amaranthdale/balance/service_balancer.h
+++ b/libs/balance/include/amaranthdale/balance/service_balancer.h
@@ -98,6 +98,7 @@
     Choice chooseOwner(const Demand &demand, core::TimePoint now);
     Choice accept(const Option &option, const Demand &demand, core::TimePoint now);
     double warmupRate() const;
+    unsigned connectionShare() const;
 
     catalog::Service service;
     RetryBudget budget;
--- a/libs/balance/src/service_balancer.cpp
+++ b/libs/balance/src/service_balancer.cpp
@@ -28,6 +28,12 @@
 constexpr double jitter = 0.15;
 
 // Retry-After of refusals for lack of capacity; queues of this size clear within it.
+constexpr double usedConnections = 0.7;
+constexpr unsigned leastConnections = 3;
+
+// A request for a server whose connections are all in use is tried again after this.
+constexpr auto connectionWait = std::chrono::milliseconds(20);
+
 constexpr auto capacityRetry = std::chrono::milliseconds(150);
 constexpr auto absentRetry = std::chrono::milliseconds(400);
 
@@ -72,6 +78,15 @@
     return this->service.warmupRate / std::max(1U, this->share.instances);
 }
 
+// Servers reset connections beyond their limit, which counts all instances, and lower it while
+// they are busy.
+unsigned ServiceBalancer::connectionShare() const
+{
+    const double connections = usedConnections * this->service.maxConnections
+            / std::max(1U, this->share.instances);
+    return std::max(leastConnections, static_cast<unsigned>(connections));
+}
+
 ServiceBalancer::Option ServiceBalancer::assess(ServerLoad &load, const Demand &demand,
                                                 core::TimePoint now)
 {
@@ -98,6 +113,7 @@
         const bool tried = std::find(demand.tried.begin(), demand.tried.end(), name)
                 != demand.tried.end();
         if (tried || load.isTrusted(now) != trustedOnly
+            || load.inFlight() >= this->connectionShare()
             || load.nextWarmup(this->warmupRate(), now) > now)
             continue;
         const Option option = this->assess(load, demand, now);
@@ -121,6 +137,11 @@
         if (load.isCold(now))
             next = std::min(next, load.nextWarmup(this->warmupRate(), now));
     }
+    const bool busy = std::any_of(this->servers.begin(), this->servers.end(), [&](const auto &entry) {
+        return entry.second.isTrusted(now) && entry.second.inFlight() >= this->connectionShare();
+    });
+    if (busy)
+        return Refuse{capacityRetry, "over-capacity"};
     if (next < now + (demand.deadline - now) / 2)
         return WaitUntil{next};
     return Refuse{absentRetry, this->servers.empty() ? "no-server" : "all-servers-failed"};
@@ -135,8 +156,13 @@
     if (!load.isTrusted(now))
         return Refuse{absentRetry, "owner-unreachable"};
     const core::TimePoint next = load.nextWarmup(this->warmupRate(), now);
-    if (next <= now)
-        return this->accept(this->assess(load, demand, now), demand, now);
+    if (next <= now) {
+        const Option option = this->assess(load, demand, now);
+        const bool inTime = option.estimate <= demand.deadline - now;
+        if (load.inFlight() >= this->connectionShare() && inTime)
+            return WaitUntil{now + connectionWait};
+        return this->accept(option, demand, now);
+    }
     if (next < now + (demand.deadline - now) / 2)
         return WaitUntil{next};
     return Refuse{absentRetry, "owner-cold"};
--- a/libs/control/include/amaranthdale/control/interfaces.h
+++ b/libs/control/include/amaranthdale/control/interfaces.h
@@ -65,11 +65,19 @@
     virtual bool isElected(const core::ServiceName &service) const = 0;
 };
 
-/// Sends key counts to the granter. Losses are harmless.
-class LoadReporter
+/// Messages to other instances. Losses are harmless.
+class PeerChannel
 {
 public:
-    virtual ~LoadReporter() = default;
+    virtual ~PeerChannel() = default;
+
+    /// Asks a granter that was replaced to stop. `ended` is called if it did, or if its process has
+    /// ended.
+    virtual void requestStepDown(const keyspace::Predecessor &predecessor,
+                                 const core::ServiceName &service,
+                                 std::function<void()> ended) = 0;
+
+    /// Sends key counts to the granter.
 
     virtual void report(const std::string &granterPeer, const core::ServiceName &service,
                         const std::vector<keyspace::KeyCount> &counts) = 0;
--- a/libs/control/include/amaranthdale/control/key_control.h
+++ b/libs/control/include/amaranthdale/control/key_control.h
@@ -19,7 +19,7 @@
     AssignmentLog &assignments;
     GrantChannel &grants;
     Election &election;
-    LoadReporter &reporter;
+    PeerChannel &peers;
 };
 
 /// Control of the keys of one service at this instance. Thread-safe.
@@ -35,6 +35,9 @@
     /// Gives up the granter's work, without a successor; for a planned stop.
     void stop();
 
+    /// Stops granting, as a successor asks for.
+    void stepDown();
+
     /// Counts that another instance reported.
     void addCounts(const std::vector<keyspace::KeyCount> &counts);
 
@@ -48,6 +51,7 @@
         keyspace::Granter granter;
         keyspace::KeyLoad load;
         core::TimePoint nextReport{};
+        core::TimePoint nextStepDownRequest{};
         core::TimePoint nextOneShot{}; ///< Each read is paid for.
         bool oneShotRead = false; ///< A read besides the long one is in progress.
         bool wasGranter = false;
@@ -64,6 +68,7 @@
     void append(const keyspace::AppendOrder &order);
     void publish();
     void reportLoad(core::TimePoint now);
+    void askPredecessor(core::TimePoint now);
     std::optional<core::Endpoint> endpointOf(const keyspace::ServerRun &run) const;
 
     const KeyControlParts parts;
--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -13,6 +13,7 @@
 constexpr auto readRetry = std::chrono::milliseconds(300);
 constexpr auto granterTick = std::chrono::milliseconds(100);
 constexpr auto followerTick = std::chrono::milliseconds(250);
+constexpr auto stepDownRepeat = std::chrono::milliseconds(300);
 constexpr auto reportInterval = std::chrono::milliseconds(500);
 
 // Counts halve in about 1.5 s, so that a new hot range outweighs the past within seconds.
@@ -26,7 +27,7 @@
     : parts(controlParts), service(std::move(keyedService)), self(instance),
       peer(peerAddress), state(tables::LockRank::Ownership,
                                State{keyspace::Granter(instance, peerAddress, granterLimits),
-                                     keyspace::KeyLoad(), {}, {}, false, false})
+                                     keyspace::KeyLoad(), {}, {}, {}, false, false})
 { }
 
 void KeyControl::start()
@@ -45,6 +46,13 @@
     return this->state.with([](const State &current) { return current.granter.isGranter(); });
 }
 
+void KeyControl::stepDown()
+{
+    this->state.with([](State &current) { current.granter.stepDown(); });
+    this->parts.events.write(log::Severity::Info, "granter-stepped-down",
+                             {{"service", this->service.value}});
+}
+
 void KeyControl::addCounts(const std::vector<keyspace::KeyCount> &counts)
 {
     this->state.with([&counts](State &current) { current.load.add(counts); });
@@ -130,6 +138,7 @@
         return;
     this->tick();
     this->reportLoad(this->parts.clock.now());
+    this->askPredecessor(this->parts.clock.now());
     this->scheduleTick();
 }
 
@@ -258,6 +267,29 @@
             });
 }
 
+// Until the replaced granter is known to have ended, the keys of lost owners wait for its rights to
+// run out.
+void KeyControl::askPredecessor(core::TimePoint now)
+{
+    const auto predecessor =
+            this->state.with([now](State &current) -> std::optional<keyspace::Predecessor> {
+                if (now < current.nextStepDownRequest)
+                    return std::nullopt;
+                current.nextStepDownRequest = now + stepDownRepeat;
+                return current.granter.predecessor();
+            });
+    if (!predecessor)
+        return;
+    this->parts.peers.requestStepDown(*predecessor, this->service, [weak = this->weak_from_this()] {
+        const auto control = weak.lock();
+        if (!control)
+            return;
+        control->state.with([&](State &current) {
+            current.granter.onPredecessorEnded(control->parts.clock.uptime());
+        });
+    });
+}
+
 void KeyControl::reportLoad(core::TimePoint now)
 {
     const bool due = this->state.with([now](State &current) {
@@ -274,7 +306,7 @@
     const auto assignment = this->state.with(
             [](const State &current) { return current.granter.assignment(); });
     if (assignment && assignment->granter != this->self && !counts.empty())
-        this->parts.reporter.report(assignment->granterPeer, this->service, counts);
+        this->parts.peers.report(assignment->granterPeer, this->service, counts);
 }
 
 } // namespace amaranthdale::control
--- a/libs/control/src/peer_protocol.cpp
+++ b/libs/control/src/peer_protocol.cpp
@@ -7,14 +7,33 @@
 
 namespace {
 
-constexpr std::string_view pathPrefix = "/key-counts/";
-constexpr auto reportTimeout = std::chrono::milliseconds(800);
+constexpr std::string_view countsPrefix = "/key-counts/";
+constexpr std::string_view stepDownPrefix = "/step-down/";
+constexpr auto messageTimeout = std::chrono::milliseconds(800);
+constexpr unsigned statusOk = 200;
 constexpr std::size_t mostCounts = 20000; ///< Bounds the body; further keys are left out.
 
-class HttpLoadReporter : public LoadReporter
+class HttpPeerChannel : public PeerChannel
 {
 public:
-    explicit HttpLoadReporter(core::HttpSender &httpSender) : sender(httpSender) { }
+    explicit HttpPeerChannel(core::HttpSender &httpSender) : sender(httpSender) { }
+
+    void requestStepDown(const keyspace::Predecessor &predecessor,
+                         const core::ServiceName &service, std::function<void()> ended) override
+    {
+        const auto endpoint = core::attempt([&] { return core::parseEndpoint(predecessor.peer); });
+        if (!endpoint)
+            return;
+        core::HttpRequest request;
+        request.method = "POST";
+        request.target = std::string(stepDownPrefix) + service.value;
+        request.body = std::to_string(predecessor.instance.incarnation.value);
+        this->sender.send(*endpoint, std::move(request), messageTimeout,
+                          [ended = std::move(ended)](core::Outcome<core::HttpResponse> outcome) {
+                              if (outcome && outcome->status == statusOk)
+                                  ended();
+                          });
+    }
 
     void report(const std::string &granterPeer, const core::ServiceName &service,
                 const std::vector<keyspace::KeyCount> &counts) override
@@ -24,12 +43,12 @@
             return;
         core::HttpRequest request;
         request.method = "POST";
-        request.target = std::string(pathPrefix) + service.value;
+        request.target = std::string(countsPrefix) + service.value;
         for (std::size_t index = 0; index < std::min(counts.size(), mostCounts); ++index)
             request.body += std::to_string(counts[index].first) + ' '
                     + std::to_string(counts[index].second) + '\n';
         // A lost report is made up for by the next one.
-        this->sender.send(*endpoint, std::move(request), reportTimeout, [](auto) { });
+        this->sender.send(*endpoint, std::move(request), messageTimeout, [](auto) { });
     }
 
 private:
@@ -55,39 +74,68 @@
     return counts;
 }
 
-class ReportHandler : public core::RequestHandler
+class PeerHandler : public core::RequestHandler
 {
 public:
-    explicit ReportHandler(CountsHandler countsHandler) : handler(std::move(countsHandler)) { }
+    PeerHandler(core::Incarnation ownIncarnation, CountsHandler countsHandler,
+                StepDownHandler stepDownHandler)
+        : incarnation(ownIncarnation), onCounts(std::move(countsHandler)),
+          onStepDown(std::move(stepDownHandler))
+    { }
 
     std::shared_ptr<core::Exchange> handle(core::HttpRequest request,
                                            core::ResponseHandler respond) override
     {
-        const std::string_view target = request.target;
-        const auto counts = parseCounts(request.body);
-        if (request.method != "POST" || !target.starts_with(pathPrefix) || !counts) {
-            respond(core::makeResponse(400, "{}"));
-            return nullptr;
-        }
-        this->handler(core::ServiceName(std::string(target.substr(pathPrefix.size()))), *counts);
-        respond(core::makeResponse(200, "{}"));
+        const bool done = request.method == "POST" && this->dispatch(request);
+        respond(core::makeResponse(done ? statusOk : 400, "{}"));
         return nullptr;
     }
 
 private:
-    CountsHandler handler;
+    bool dispatch(const core::HttpRequest &request)
+    {
+        const std::string_view target = request.target;
+        if (target.starts_with(countsPrefix)) {
+            const auto counts = parseCounts(request.body);
+            if (counts)
+                this->onCounts(serviceOf(target, countsPrefix), *counts);
+            return counts.has_value();
+        }
+        if (!target.starts_with(stepDownPrefix))
+            return false;
+        std::uint64_t asked = 0;
+        const char *end = request.body.data() + request.body.size();
+        const auto parsed = std::from_chars(request.body.data(), end, asked);
+        if (parsed.ec != std::errc() || parsed.ptr != end)
+            return false;
+        // A later run of this instance answers for the one that has ended.
+        if (asked == this->incarnation.value)
+            this->onStepDown(serviceOf(target, stepDownPrefix));
+        return true;
+    }
+
+    static core::ServiceName serviceOf(std::string_view target, std::string_view prefix)
+    {
+        return core::ServiceName(std::string(target.substr(prefix.size())));
+    }
+
+    const core::Incarnation incarnation;
+    const CountsHandler onCounts;
+    const StepDownHandler onStepDown;
 };
 
 } // namespace
 
-std::unique_ptr<LoadReporter> makeLoadReporter(core::HttpSender &sender)
+std::unique_ptr<PeerChannel> makePeerChannel(core::HttpSender &sender)
 {
-    return std::make_unique<HttpLoadReporter>(sender);
+    return std::make_unique<HttpPeerChannel>(sender);
 }
 
-std::unique_ptr<core::RequestHandler> makeReportHandler(CountsHandler handler)
+std::unique_ptr<core::RequestHandler> makePeerHandler(core::Incarnation incarnation,
+                                                      CountsHandler onCounts,
+                                                      StepDownHandler onStepDown)
 {
-    return std::make_unique<ReportHandler>(std::move(handler));
+    return std::make_unique<PeerHandler>(incarnation, std::move(onCounts), std::move(onStepDown));
 }
 
 } // namespace amaranthdale::control
--- a/libs/keyspace/include/amaranthdale/keyspace/assignment.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/assignment.h
@@ -51,7 +51,8 @@
 struct Assignment
 {
     core::InstanceId granter; ///< The only instance that may move keys.
-    std::string granterPeer;  ///< Address at which the granter takes reports of load.
+    std::string granterPeer;  ///< Address at which the granter takes messages of its peers.
+    bool settled = false;     ///< No earlier granter sends grants any more.
     std::vector<Holding> holdings;
 
     bool operator==(const Assignment &) const = default;
--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -60,19 +60,26 @@
     Refused,  ///< Nothing was done.
 };
 
+/// A granter that was replaced.
+struct Predecessor
+{
+    core::InstanceId instance;
+    std::string peer;
+};
+
 /// Times of grants. Defaults suit stores that answer within milliseconds.
 struct GranterLimits
 {
     /// Hold of a grant. A dead server's keys are unavailable for about this long.
     core::Duration hold = std::chrono::milliseconds(3000);
     /// Hold while the store is away and no other instance could take over.
-    core::Duration longHold = std::chrono::seconds(10);
+    core::Duration longHold = std::chrono::seconds(6);
     core::Duration renewal = std::chrono::milliseconds(900);
     /// An unanswered grant is repeated after this.
     core::Duration repeat = std::chrono::milliseconds(100);
     /// The granter stops renewing this long after it last saw that no other has taken over; a
     /// successor waits it out. Covers store outages.
-    core::Duration authority = std::chrono::seconds(20);
+    core::Duration authority = std::chrono::seconds(15);
     /// Longest way of a call to a server: calls are reset when unanswered for so long.
     core::Duration transit = std::chrono::milliseconds(600);
     /// A server's clock may run this much slow (registry's specification: 2%).
@@ -96,7 +103,8 @@
 ///   exception: its new run may have taken renewals that were meant for the old one.
 /// - A granter sends nothing later than `authority` after it last saw the log without a successor;
 ///   a successor counts renewals by earlier granters as possible until then, unless the server
-///   has answered it under its own fence.
+///   has answered it under its own fence or the granter has stepped down. A record says whether
+///   earlier granters than its own may still send (`settled`).
 class Granter
 {
 public:
@@ -121,6 +129,17 @@
     /// Results of appends that are no longer pending are ignored: the log has told their outcome.
     void onAppend(OrderId id, AppendResult result, core::TimePoint now);
 
+    /// The granter that this instance replaced sends no more grants: it has stepped down, or its
+    /// process has ended.
+    void onPredecessorEnded(core::TimePoint now);
+
+    /// The granter to ask to step down, where that shortens waits.
+    std::optional<Predecessor> predecessor() const;
+
+    /// Stops granting until the log names this instance anew. For a request of a successor, which
+    /// has replaced the record that named this instance.
+    void stepDown();
+
     /// What is to be done now. `load` steers placement.
     std::vector<Order> tick(core::TimePoint now, const KeyLoad &load);
 
@@ -160,6 +179,7 @@
 
     void adopt(const Assignment &assignment, bool inherited);
     void appendTakeover(std::vector<Order> &orders);
+    void settle(core::TimePoint now, std::vector<Order> &orders);
     void propose(Assignment assignment, std::vector<Order> &orders);
     void appendFirst(core::TimePoint now, std::vector<Order> &orders);
     void markVacating(core::TimePoint now);
@@ -186,6 +206,9 @@
     bool stale = true; ///< The log has to be read again.
     bool elected = false;
     bool takenOver = false; ///< Another instance, or an earlier run, was the granter before.
+    bool steppedDown = false;
+    std::optional<Assignment> replaced; ///< The record that this instance's first one replaced.
+    core::TimePoint inheritedUntil{}; ///< Earlier granters may send grants until then.
     core::TimePoint leadSince{};
     core::TimePoint authorityUntil{};
     core::TimePoint lastLogAnswer{}; ///< Start of the last read that was answered.
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -39,6 +39,7 @@
     const bool wasGranter = this->isGranter();
     const bool changed = logEnd != this->end || record != this->newest;
     this->takenOver = this->takenOver || this->newest.has_value();
+    std::optional<Assignment> before = std::move(this->newest);
     this->end = logEnd;
     this->newest = std::move(record);
     if (this->pending && this->pending->expectedEnd != logEnd) {
@@ -48,11 +49,15 @@
     }
     if (!this->isGranter()) {
         this->ranges.clear();
+        this->steppedDown = false;
         return;
     }
     this->authorityUntil = std::max(this->authorityUntil, readBegan + this->limits.authority);
-    if (!wasGranter)
+    if (!wasGranter) {
         this->leadSince = now;
+        this->inheritedUntil = now + this->limits.authority;
+        this->replaced = std::move(before);
+    }
     if (changed || !wasGranter)
         this->adopt(*this->newest, !wasGranter && this->takenOver);
 }
@@ -80,7 +85,7 @@
 
 bool Granter::mayGrant(core::TimePoint now) const
 {
-    return this->isGranter() && now < this->authorityUntil;
+    return this->isGranter() && !this->steppedDown && now < this->authorityUntil;
 }
 
 std::uint64_t Granter::fenceOfNextRecord() const
@@ -145,9 +150,39 @@
         this->advance(range, now, orders);
     if (!this->pending && !this->stale)
         this->appendOwners(now, load, orders);
+    if (!this->pending && !this->stale && !this->newest->settled && now >= this->inheritedUntil)
+        this->settle(now, orders);
     return orders;
 }
 
+// Tells successors that no granter before this one has to be waited out.
+void Granter::settle(core::TimePoint, std::vector<Order> &orders)
+{
+    Assignment next = *this->newest;
+    next.settled = true;
+    this->propose(std::move(next), orders);
+}
+
+void Granter::onPredecessorEnded(core::TimePoint now)
+{
+    const bool only = this->replaced && this->replaced->settled;
+    if (only)
+        this->inheritedUntil = std::min(this->inheritedUntil, now);
+}
+
+std::optional<Predecessor> Granter::predecessor() const
+{
+    if (!this->isGranter() || !this->replaced || !this->replaced->settled || this->newest->settled)
+        return std::nullopt;
+    return Predecessor{this->replaced->granter, this->replaced->granterPeer};
+}
+
+void Granter::stepDown()
+{
+    this->steppedDown = this->isGranter();
+    this->stale = true;
+}
+
 void Granter::appendFirst(core::TimePoint now, std::vector<Order> &orders)
 {
     if (this->candidates.empty() || now < this->candidatesSince + this->limits.settle)
@@ -155,6 +190,7 @@
     Assignment first;
     first.granter = this->self;
     first.granterPeer = this->peer;
+    first.settled = true;
     first.holdings = placeInitially(this->candidates, this->limits.placement);
     for (Holding &holding : first.holdings)
         holding.fence = this->fenceOfNextRecord();
@@ -166,6 +202,7 @@
     Assignment next = *this->newest;
     next.granter = this->self;
     next.granterPeer = this->peer;
+    next.settled = false;
     for (Holding &holding : next.holdings)
         holding.fence = this->fenceOfNextRecord();
     this->propose(std::move(next), orders);
@@ -209,10 +246,10 @@
 void Granter::rebalance(core::TimePoint now, const KeyLoad &load)
 {
     this->nextRebalance = now + this->limits.rebalance;
-    const bool moving = std::any_of(this->ranges.begin(), this->ranges.end(), [](const Range &r) {
-        return r.vacating || r.vacant || !r.confirmed;
-    });
-    if (moving || this->pending)
+    // Ranges that wait for the hold of a lost owner don't keep others from moving.
+    const bool moving = std::any_of(this->ranges.begin(), this->ranges.end(),
+                                    [](const Range &range) { return range.target.has_value(); });
+    if (moving || this->pending || this->stale)
         return;
     for (const Move &move :
          planMoves(this->holdings(), this->answeringCandidates(now), load, this->limits.placement))
@@ -227,7 +264,7 @@
             std::find_if(this->ranges.begin(), this->ranges.end(), [&move](const Range &range) {
                 return range.holding.keys.contains(move.keys.first);
             });
-    if (found == this->ranges.end() || found->grant != 0 || found->vacating
+    if (found == this->ranges.end() || found->grant != 0 || found->vacating || !found->confirmed
         || !found->holding.keys.contains(move.keys.last))
         return;
     const KeyRange whole = found->holding.keys;
@@ -319,8 +356,8 @@
 {
     if (!range.inherited)
         return range.heldUntil;
-    const core::TimePoint lastInherited = this->leadSince + this->limits.authority;
-    return std::max(range.heldUntil, this->holdEndAfter(lastInherited, this->limits.longHold));
+    return std::max(range.heldUntil,
+                    this->holdEndAfter(this->inheritedUntil, this->limits.longHold));
 }
 
 void Granter::appendOwners(core::TimePoint now, const KeyLoad &load, std::vector<Order> &orders)
@@ -347,6 +384,7 @@
     Assignment next;
     next.granter = this->self;
     next.granterPeer = this->peer;
+    next.settled = this->newest->settled || now >= this->inheritedUntil;
     auto owner = owners.begin();
     for (const Range &range : this->ranges) {
         Holding holding = range.holding;
--- a/libs/keyspace/tests/granter_model.cpp
+++ b/libs/keyspace/tests/granter_model.cpp
@@ -168,6 +168,26 @@
     instance.granter->setServers(usable, this->time);
     for (const Order &order : instance.granter->tick(this->time, this->load))
         this->carryOut(index, order);
+    if (this->chance(30))
+        this->askPredecessor(index);
+}
+
+// Peers reach each other unless one of them stands still or is cut off.
+void World::askPredecessor(std::size_t index)
+{
+    const auto predecessor = this->instances[index].granter->predecessor();
+    if (!predecessor)
+        return;
+    for (std::size_t other = 0; other < this->instances.size(); ++other) {
+        const Instance &peer = this->instances[other];
+        const bool asked = "i" + std::to_string(other) == predecessor->instance.name.value;
+        if (!asked || !peer.alive || this->time < peer.suspendedUntil
+            || this->time < peer.cutUntil)
+            continue;
+        this->instances[other].granter->stepDown();
+        this->answer(index, this->instances[index].incarnation, milliseconds(20),
+                     [this](Granter &granter) { granter.onPredecessorEnded(this->time); });
+    }
 }
 
 void World::readLog(std::size_t index)
--- a/libs/keyspace/tests/granter_model.h
+++ b/libs/keyspace/tests/granter_model.h
@@ -102,6 +102,7 @@
     void injectFaults();
     void restartServer(std::size_t index);
     void act(std::size_t index);
+    void askPredecessor(std::size_t index);
     void readLog(std::size_t index);
     void carryOut(std::size_t index, const Order &order);
     void grant(std::size_t index, const GrantOrder &order);
