Send every repeat within the shared budget; wait before an owner's repeat

Full servers of that service reset connections; the HTTP client sent the request once more by itself, and the gateway at once to the same owner, up to five times.

Change: the gateway tells the client to send once; an owner that failed is asked again after 30 ms. Ranges move only for a surplus beyond two standard deviations of the counts. A granter's authority ends 12 s after it last read the log (was 15 s), the longest hold is 5 s (was 6 s), so that keys of lost servers wait less after a change of granter.

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -24,6 +24,9 @@
 // A server that has just become the owner takes its grant this long after the change is known.
 constexpr auto grantDelay = std::chrono::milliseconds(25);
 
+// A full server may reset connections; it has room again about this much later.
+constexpr auto ownerRepeatDelay = std::chrono::milliseconds(30);
+
 constexpr auto unconfiguredRetry = std::chrono::milliseconds(500);
 constexpr auto ownerRetry = std::chrono::milliseconds(300);
 
@@ -196,7 +199,8 @@
     this->sentAt = this->gateway.clock.now();
     const core::Duration time = this->left();
     core::HttpRequest message = this->gateway.wire.forServer(this->request, target.name, time);
-    message.repeatable = catalog::isRepeatable(this->demand.kind);
+    // Repeats are decided here, where the budget that all instances share is known.
+    message.repeatable = false;
     const unsigned current = ++this->number;
     auto started = this->gateway.sender.send(
             target.endpoint, std::move(message), time + answerMargin,
@@ -262,7 +266,7 @@
     ++this->sends;
     ++this->attempts;
     if (!late && this->mayRepeat(true))
-        return this->attempt();
+        return this->repeatLater();
     this->fail(late ? gatewayTimeout : badGateway, error.message);
 }
 
@@ -299,13 +303,21 @@
     if (serverError) {
         this->demand.tried.push_back(this->lastServer);
         if (this->mayRepeat(true))
-            return this->attempt();
+            return this->repeatLater();
     }
     if (isPromise(response.status))
         return this->fail(badGateway, "server-status-" + std::to_string(response.status));
     this->finish(std::move(response), "failed", "server-failed");
 }
 
+// The owner of a key gets a little time before it is asked again; another server needs none.
+void RequestRun::repeatLater()
+{
+    if (!this->request.key)
+        return this->attempt();
+    this->wait(this->gateway.clock.now() + ownerRepeatDelay, "repeat");
+}
+
 // Whether the request may go to a server again. `ran`: the last attempt may have run.
 bool RequestRun::mayRepeat(bool ran)
 {
--- a/libs/gateway/src/request_run.h
+++ b/libs/gateway/src/request_run.h
@@ -31,6 +31,7 @@
     void readBody(core::HttpResponse response);
     void onBody(core::HttpResponse response, core::Outcome<std::string> body);
     void onServerFailure(core::HttpResponse response);
+    void repeatLater();
     bool mayRepeat(bool ran);
     void repeatOrRefuse(const char *reason);
     void endAttempt(balance::AttemptResult result);
--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -73,13 +73,13 @@
     /// Hold of a grant. A dead server's keys are unavailable for about this long.
     core::Duration hold = std::chrono::milliseconds(3000);
     /// Hold while the store is away and no other instance could take over.
-    core::Duration longHold = std::chrono::seconds(6);
+    core::Duration longHold = std::chrono::seconds(5);
     core::Duration renewal = std::chrono::milliseconds(900);
     /// An unanswered grant is repeated after this.
     core::Duration repeat = std::chrono::milliseconds(100);
     /// The granter stops renewing this long after it last saw that no other has taken over; a
-    /// successor waits it out. Covers store outages.
-    core::Duration authority = std::chrono::seconds(15);
+    /// successor waits it out. Covers store outages up to this length.
+    core::Duration authority = std::chrono::seconds(12);
     /// Longest way of a call to a server: calls are reset when unanswered for so long.
     core::Duration transit = std::chrono::milliseconds(600);
     /// A server's clock may run this much slow (registry's specification: 2%).
--- a/libs/keyspace/src/placement.cpp
+++ b/libs/keyspace/src/placement.cpp
@@ -2,6 +2,7 @@
 #include "amaranthdale/keyspace/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace amaranthdale::keyspace {
@@ -13,6 +14,9 @@
 constexpr double evenShare = 0.2;
 constexpr double leastTotal = 20;
 
+// Counts scatter by their square root; a smaller surplus is likely to be chance.
+constexpr double noiseDeviations = 2;
+
 struct ServerLoad
 {
     const Candidate *candidate = nullptr;
@@ -172,8 +176,10 @@
             break;
         const double mean = model.meanRelative();
         const bool empty = to->load == 0;
+        const double surplus = from->load - mean * from->candidate->capacity;
         const bool uneven = model.totalRequests() >= limits.leastRequests
-                && from->relative() > limits.tolerance * mean;
+                && from->relative() > limits.tolerance * mean
+                && surplus > noiseDeviations * std::sqrt(from->load);
         if (!uneven && !empty)
             break;
         const double excess = std::min((from->relative() - mean) * from->candidate->capacity,
