Bound changes of granter; pause between appends; avoid servers that are gone

Two instances each took the other's place 15 times in 4 s: one kept an election result that its failing joins could no longer confirm. Each change made the keys of lost servers wait anew. A granter also wrote 30 records a second while servers whose addresses had new owners were still registered: their keys went from one such server to the next.

Unit tests for each.

--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -87,6 +87,11 @@
     core::Duration rebalance = std::chrono::milliseconds(500);
     /// Longest wait for further vacant ranges before a record names new owners.
     core::Duration batch = std::chrono::milliseconds(80);
+    /// Least time between two changes of granter: instances may disagree for a while about who is
+    /// elected, and each change makes the keys of lost servers wait again.
+    core::Duration takeoverPause = std::chrono::milliseconds(2500);
+    /// Pause after an append that was not carried out.
+    core::Duration appendRepeat = std::chrono::milliseconds(300);
     /// Wait for further servers before the first assignment.
     core::Duration settle = std::chrono::milliseconds(1500);
     PlacementLimits placement;
@@ -179,7 +184,7 @@
 
     void adopt(const Assignment &assignment, bool inherited);
     void appendTakeover(std::vector<Order> &orders);
-    void settle(core::TimePoint now, std::vector<Order> &orders);
+    void settle(std::vector<Order> &orders);
     void propose(Assignment assignment, std::vector<Order> &orders);
     void appendFirst(core::TimePoint now, std::vector<Order> &orders);
     void markVacating(core::TimePoint now);
@@ -210,6 +215,8 @@
     std::optional<Assignment> replaced; ///< The record that this instance's first one replaced.
     core::TimePoint inheritedUntil{}; ///< Earlier granters may send grants until then.
     core::TimePoint leadSince{};
+    core::TimePoint granterSince{}; ///< When the newest granter was first seen.
+    core::TimePoint nextAppend{};
     core::TimePoint authorityUntil{};
     core::TimePoint lastLogAnswer{}; ///< Start of the last read that was answered.
     core::TimePoint lastLogHeard{};  ///< When the log answered last.
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -42,6 +42,11 @@
     std::optional<Assignment> before = std::move(this->newest);
     this->end = logEnd;
     this->newest = std::move(record);
+    const bool sameGranter =
+            before && this->newest && before->granter == this->newest->granter;
+    // The first record that is read may be old: its granter is not taken for a new one.
+    if (!sameGranter && before)
+        this->granterSince = now;
     if (this->pending && this->pending->expectedEnd != logEnd) {
         // Either this very record was appended, or its condition can't hold any more.
         this->pending.reset();
@@ -128,7 +133,7 @@
     std::vector<Order> orders;
     if (!this->logKnown)
         return orders;
-    if (this->stale) {
+    if (this->stale || now < this->nextAppend) {
         // Grants in force are renewed all the same: the log may be away for long.
     } else if (this->pending) {
         if (!this->pendingSent) {
@@ -138,7 +143,8 @@
     } else if (!this->newest) {
         if (this->elected)
             this->appendFirst(now, orders);
-    } else if (!this->isGranter() && this->elected) {
+    } else if (!this->isGranter() && this->elected
+               && now >= this->granterSince + this->limits.takeoverPause) {
         this->appendTakeover(orders);
     }
     if (!this->mayGrant(now))
@@ -148,15 +154,16 @@
         this->rebalance(now, load);
     for (Range &range : this->ranges)
         this->advance(range, now, orders);
-    if (!this->pending && !this->stale)
+    const bool mayAppend = !this->stale && now >= this->nextAppend;
+    if (!this->pending && mayAppend)
         this->appendOwners(now, load, orders);
-    if (!this->pending && !this->stale && !this->newest->settled && now >= this->inheritedUntil)
-        this->settle(now, orders);
+    if (!this->pending && mayAppend && !this->newest->settled && now >= this->inheritedUntil)
+        this->settle(orders);
     return orders;
 }
 
 // Tells successors that no granter before this one has to be waited out.
-void Granter::settle(core::TimePoint, std::vector<Order> &orders)
+void Granter::settle(std::vector<Order> &orders)
 {
     Assignment next = *this->newest;
     next.settled = true;
@@ -421,6 +428,8 @@
         found->nextGrant = now + this->limits.repeat;
         break;
     case OrderResult::Gone:
+        // Its registry entry may stay for some seconds.
+        this->silentUntil[found->holding.owner] = now + silencePause;
         found->heldUntil = found->heldBefore;
         found->vacating = true;
         found->vacant = true;
@@ -467,6 +476,7 @@
         this->onLog(done.assignment, done.expectedEnd + 1, this->lastLogAnswer, now);
         return;
     }
+    this->nextAppend = now + this->limits.appendRepeat;
     if (result == AppendResult::Conflict) {
         this->pending.reset();
         this->stale = true;
--- a/libs/keyspace/tests/granter_test.cpp
+++ b/libs/keyspace/tests/granter_test.cpp
@@ -111,3 +111,83 @@
     CHECK(world.breaches().empty());
     CHECK(world.heldKeys() == model::probedKeys().size());
 }
+
+namespace {
+
+const core::TimePoint start{std::chrono::hours(1)};
+
+core::InstanceId instance(const char *name)
+{
+    return {core::InstanceName(name), core::Incarnation(1)};
+}
+
+std::vector<Candidate> servers(int count)
+{
+    std::vector<Candidate> found;
+    for (int index = 0; index < count; ++index)
+        found.push_back({{core::ServerName("s" + std::to_string(index)), 1}, 1, false});
+    return found;
+}
+
+// The only append among `orders`, or null.
+const AppendOrder *appendOf(const std::vector<Order> &orders)
+{
+    for (const Order &order : orders) {
+        if (const auto *append = std::get_if<AppendOrder>(&order))
+            return append;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("instances that disagree about the election don't replace each other at once")
+{
+    Granter granter(instance("b"), "", GranterLimits());
+    granter.setElected(true);
+    granter.setServers(servers(2), start);
+    Assignment record;
+    record.granter = instance("a");
+    record.holdings = placeInitially(servers(2), PlacementLimits());
+    granter.onLog(record, 1, start, start);
+    record.granter = instance("c");
+    granter.onLog(record, 2, start + seconds(1), start + seconds(1));
+    CHECK(appendOf(granter.tick(start + seconds(2), KeyLoad())) == nullptr);
+    CHECK(appendOf(granter.tick(start + seconds(4), KeyLoad())) != nullptr);
+}
+
+TEST_CASE("a server whose address belongs to another one gets no keys while its entry lasts")
+{
+    Granter granter(instance("a"), "", GranterLimits());
+    granter.setElected(true);
+    granter.setServers(servers(3), start);
+    granter.onLog(std::nullopt, 0, start, start);
+    core::TimePoint now = start + seconds(2);
+    const auto first = granter.tick(now, KeyLoad());
+    REQUIRE(appendOf(first) != nullptr);
+    granter.onAppend(appendOf(first)->id, AppendResult::Done, now);
+    for (const Order &order : granter.tick(now, KeyLoad())) {
+        const auto &grant = std::get<GrantOrder>(order);
+        const bool gone = grant.holding.owner.name.value == "s1";
+        granter.onGrant(grant.id, gone ? OrderResult::Gone : OrderResult::Done, now);
+    }
+    now += milliseconds(100);
+    const auto next = granter.tick(now, KeyLoad());
+    REQUIRE(appendOf(next) != nullptr);
+    for (const Holding &holding : appendOf(next)->assignment.holdings)
+        CHECK(holding.owner.name.value != "s1");
+}
+
+TEST_CASE("an append that was refused is not repeated at once")
+{
+    Granter granter(instance("a"), "", GranterLimits());
+    granter.setElected(true);
+    granter.setServers(servers(3), start);
+    granter.onLog(std::nullopt, 0, start, start);
+    const core::TimePoint now = start + seconds(2);
+    const auto first = granter.tick(now, KeyLoad());
+    granter.onAppend(appendOf(first)->id, AppendResult::Refused, now);
+    granter.onLog(std::nullopt, 0, now, now);
+    CHECK(appendOf(granter.tick(now + milliseconds(50), KeyLoad())) == nullptr);
+    CHECK(appendOf(granter.tick(now + milliseconds(400), KeyLoad())) != nullptr);
+}
