--- a/libs/balance/include/amaranthdale/balance/retry_budget.h
+++ b/libs/balance/include/amaranthdale/balance/retry_budget.h
@@ -8,9 +8,9 @@
 /// What all instances together may send again to one service.
 struct RetryLimits
 {
-    double ratio = 0.1;  ///< Repeats for each request.
-    double burst = 3;    ///< Repeats of this instance that need no requests before them.
-    double most = 12;    ///< Unused repeats kept for later.
+    double ratio = 0.1; ///< Repeats for each request.
+    double burst = 3;   ///< Repeats of this instance that need no requests before them.
+    double most = 12;   ///< Unused repeats kept for later.
 };
 
 /// A token bucket that requests fill and repeats empty. Not thread-safe.
--- a/libs/balance/include/amaranthdale/balance/server_load.h
+++ b/libs/balance/include/amaranthdale/balance/server_load.h
@@ -37,12 +37,12 @@
     const catalog::BackendServer &server() const { return this->backend; }
     void update(catalog::BackendServer backendServer) { this->backend = std::move(backendServer); }
 
-    void onSent(core::TimePoint now);
+    void onSent() { ++this->sent; }
 
     /// `elapsed` is the time from sending to the whole response and `usual` what the route takes
     /// on an average server without a queue.
     void onEnd(AttemptResult result, core::Duration elapsed, core::Duration usual,
-               core::TimePoint sentAt, core::TimePoint now);
+               core::TimePoint now);
 
     void onReport(const LoadReport &report, core::TimePoint now);
 
--- a/libs/balance/src/server_load.cpp
+++ b/libs/balance/src/server_load.cpp
@@ -42,13 +42,8 @@
 
 ServerLoad::ServerLoad(catalog::BackendServer backendServer) : backend(std::move(backendServer)) { }
 
-void ServerLoad::onSent(core::TimePoint)
-{
-    ++this->sent;
-}
-
 void ServerLoad::onEnd(AttemptResult result, core::Duration elapsed, core::Duration usual,
-                       core::TimePoint, core::TimePoint now)
+                       core::TimePoint now)
 {
     if (this->sent > 0)
         --this->sent;
@@ -119,8 +114,8 @@
 {
     if (!this->isCold(now) || rate <= 0)
         return now;
-    return std::max(now, std::min(this->lastWarmup + warmupInterval(rate),
-                                  this->backend.coldUntil));
+    return std::max(now,
+                    std::min(this->lastWarmup + warmupInterval(rate), this->backend.coldUntil));
 }
 
 double ServerLoad::capacity() const
--- a/libs/balance/src/service_balancer.cpp
+++ b/libs/balance/src/service_balancer.cpp
@@ -82,8 +82,8 @@
 // they are busy.
 unsigned ServiceBalancer::connectionShare() const
 {
-    const double connections = usedConnections * this->service.maxConnections
-            / std::max(1U, this->share.instances);
+    const double connections =
+            usedConnections * this->service.maxConnections / std::max(1U, this->share.instances);
     return std::max(leastConnections, static_cast<unsigned>(connections));
 }
 
@@ -110,8 +110,8 @@
 {
     std::optional<Option> chosen;
     for (auto &[name, load] : this->servers) {
-        const bool tried = std::find(demand.tried.begin(), demand.tried.end(), name)
-                != demand.tried.end();
+        const bool tried =
+                std::find(demand.tried.begin(), demand.tried.end(), name) != demand.tried.end();
         if (tried || load.isTrusted(now) != trustedOnly
             || load.inFlight() >= this->connectionShare()
             || load.nextWarmup(this->warmupRate(), now) > now)
@@ -137,9 +137,11 @@
         if (load.isCold(now))
             next = std::min(next, load.nextWarmup(this->warmupRate(), now));
     }
-    const bool busy = std::any_of(this->servers.begin(), this->servers.end(), [&](const auto &entry) {
-        return entry.second.isTrusted(now) && entry.second.inFlight() >= this->connectionShare();
-    });
+    const bool busy =
+            std::any_of(this->servers.begin(), this->servers.end(), [&](const auto &entry) {
+                return entry.second.isTrusted(now)
+                        && entry.second.inFlight() >= this->connectionShare();
+            });
     if (busy)
         return Refuse{capacityRetry, "over-capacity"};
     if (next < now + (demand.deadline - now) / 2)
@@ -177,7 +179,7 @@
     if (option.estimate > scale(demand.deadline - now, usable) && option.load->inFlight() > 0)
         return Refuse{capacityRetry, "over-capacity"};
     option.load->takeWarmup(this->warmupRate(), now);
-    option.load->onSent(now);
+    option.load->onSent();
     return SendTo{option.load->server()};
 }
 
@@ -190,8 +192,7 @@
     const core::Duration elapsed = now - sentAt;
     const auto usual = this->usualOfRoute.find(route);
     const bool measured = usual != this->usualOfRoute.end();
-    found->second.onEnd(result, elapsed, measured ? usual->second : core::Duration::zero(), sentAt,
-                        now);
+    found->second.onEnd(result, elapsed, measured ? usual->second : core::Duration::zero(), now);
     if (result != AttemptResult::Answered)
         return;
     if (measured)
--- a/libs/cli/src/command.cpp
+++ b/libs/cli/src/command.cpp
@@ -265,7 +265,7 @@
         if (!isPlainName(this->arguments.stream))
             return wrongUse("--stream may have up to 64 letters, digits and . _ - @");
         const auto log = logclient::makeLogService(this->environment.sender, *address,
-                                                  this->arguments.stream);
+                                                   this->arguments.stream);
         const ChangeContext context{client, *log, this->environment.pacer, proposer, *wait};
         return function(context);
     }
--- a/libs/control/include/amaranthdale/control/interfaces.h
+++ b/libs/control/include/amaranthdale/control/interfaces.h
@@ -74,8 +74,7 @@
     /// Asks a granter that was replaced to stop. `ended` is called if it did, or if its process has
     /// ended.
     virtual void requestStepDown(const keyspace::Predecessor &predecessor,
-                                 const core::ServiceName &service,
-                                 std::function<void()> ended) = 0;
+                                 const core::ServiceName &service, std::function<void()> ended) = 0;
 
     /// Sends key counts to the granter.
 
--- a/libs/control/include/amaranthdale/control/key_control.h
+++ b/libs/control/include/amaranthdale/control/key_control.h
@@ -6,6 +6,7 @@
 #include "amaranthdale/gateway/gateway.h"
 #include "amaranthdale/log/event_log.h"
 
+#include <atomic>
 #include <memory>
 
 namespace amaranthdale::control {
@@ -53,7 +54,7 @@
         core::TimePoint nextReport{};
         core::TimePoint nextStepDownRequest{};
         core::TimePoint nextOneShot{}; ///< Each read is paid for.
-        bool oneShotRead = false; ///< A read besides the long one is in progress.
+        bool oneShotRead = false;      ///< A read besides the long one is in progress.
         bool wasGranter = false;
     };
 
--- a/libs/control/include/amaranthdale/control/peer_protocol.h
+++ b/libs/control/include/amaranthdale/control/peer_protocol.h
@@ -1,8 +1,8 @@
 // Messages between instances, over HTTP/1.1.
 //
 // POST /key-counts/SERVICE: one line "KEY COUNT" for each key that had requests.
-// POST /step-down/SERVICE: the body is the incarnation of the granter that was replaced. 200: no run
-// with this incarnation grants any more.
+// POST /step-down/SERVICE: the body is the incarnation of the granter that was replaced. 200: no
+// run with this incarnation grants any more.
 #pragma once
 
 #include "amaranthdale/control/interfaces.h"
--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -24,10 +24,15 @@
 KeyControl::KeyControl(KeyControlParts controlParts, core::ServiceName keyedService,
                        core::InstanceId instance, std::string peerAddress,
                        keyspace::GranterLimits granterLimits)
-    : parts(controlParts), service(std::move(keyedService)), self(instance),
-      peer(peerAddress), state(tables::LockRank::Ownership,
-                               State{keyspace::Granter(instance, peerAddress, granterLimits),
-                                     keyspace::KeyLoad(), {}, {}, {}, false, false})
+    : parts(controlParts), service(std::move(keyedService)), self(instance), peer(peerAddress),
+      state(tables::LockRank::Ownership,
+            State{keyspace::Granter(instance, peerAddress, granterLimits),
+                  keyspace::KeyLoad(),
+                  {},
+                  {},
+                  {},
+                  false,
+                  false})
 { }
 
 void KeyControl::start()
@@ -108,16 +113,17 @@
     const bool empty = !failed && outcome->changed && outcome->end == 0;
     if (!failed && !empty)
         return this->readLog(true);
-    this->parts.clock.schedule(this->parts.clock.now() + readRetry, [weak = this->weak_from_this()] {
-        if (const auto control = weak.lock())
-            control->readLog(true);
-    });
+    this->parts.clock.schedule(this->parts.clock.now() + readRetry,
+                               [weak = this->weak_from_this()] {
+                                   if (const auto control = weak.lock())
+                                       control->readLog(true);
+                               });
 }
 
 void KeyControl::publish()
 {
-    const auto assignment = this->state.with(
-            [](const State &current) { return current.granter.assignment(); });
+    const auto assignment =
+            this->state.with([](const State &current) { return current.granter.assignment(); });
     if (assignment)
         this->parts.gateway.setAssignment(this->service, *assignment);
 }
@@ -167,8 +173,9 @@
         return due;
     });
     if (became)
-        this->parts.events.write(log::Severity::Info, granter ? "granter-begun" : "granter-ended",
-                                 {{"service", this->service.value}, {"instance", this->self.name.value}});
+        this->parts.events.write(
+                log::Severity::Info, granter ? "granter-begun" : "granter-ended",
+                {{"service", this->service.value}, {"instance", this->self.name.value}});
     if (read)
         this->readLog(false);
     for (const keyspace::Order &order : orders)
@@ -218,7 +225,7 @@
 void KeyControl::sendRelease(const keyspace::ReleaseOrder &order)
 {
     const auto done = [weak = this->weak_from_this(), order](keyspace::OrderResult result,
-                                                            std::string handover) {
+                                                             std::string handover) {
         const auto control = weak.lock();
         if (!control)
             return;
@@ -245,7 +252,8 @@
 void KeyControl::append(const keyspace::AppendOrder &order)
 {
     this->parts.assignments.append(
-            this->service, order, [weak = this->weak_from_this(), order](keyspace::AppendResult result) {
+            this->service, order,
+            [weak = this->weak_from_this(), order](keyspace::AppendResult result) {
                 const auto control = weak.lock();
                 if (!control)
                     return;
@@ -258,7 +266,8 @@
                         {{"service", control->service.value},
                          {"offset", std::to_string(order.expectedEnd)},
                          {"ranges", std::to_string(order.assignment.holdings.size())},
-                         {"result", done ? "done"
+                         {"result",
+                          done                                                 ? "done"
                                   : result == keyspace::AppendResult::Conflict ? "conflict"
                                                                                : "open"}});
                 if (done)
@@ -303,8 +312,8 @@
         return;
     const auto counts = this->parts.gateway.takeKeyCounts(this->service);
     this->addCounts(counts);
-    const auto assignment = this->state.with(
-            [](const State &current) { return current.granter.assignment(); });
+    const auto assignment =
+            this->state.with([](const State &current) { return current.granter.assignment(); });
     if (assignment && assignment->granter != this->self && !counts.empty())
         this->parts.peers.report(assignment->granterPeer, this->service, counts);
 }
--- a/libs/control/src/peer_protocol.cpp
+++ b/libs/control/src/peer_protocol.cpp
@@ -18,8 +18,8 @@
 public:
     explicit HttpPeerChannel(core::HttpSender &httpSender) : sender(httpSender) { }
 
-    void requestStepDown(const keyspace::Predecessor &predecessor,
-                         const core::ServiceName &service, std::function<void()> ended) override
+    void requestStepDown(const keyspace::Predecessor &predecessor, const core::ServiceName &service,
+                         std::function<void()> ended) override
     {
         const auto endpoint = core::attempt([&] { return core::parseEndpoint(predecessor.peer); });
         if (!endpoint)
@@ -48,7 +48,7 @@
             request.body += std::to_string(counts[index].first) + ' '
                     + std::to_string(counts[index].second) + '\n';
         // A lost report is made up for by the next one.
-        this->sender.send(*endpoint, std::move(request), messageTimeout, [](auto) { });
+        this->sender.send(*endpoint, std::move(request), messageTimeout, [](auto) {});
     }
 
 private:
--- /dev/null
+++ b/libs/control/tests/peer_protocol_test.cpp
@@ -0,0 +1,82 @@
+// Messages between instances.
+#include "amaranthdale/control/peer_protocol.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthdale;
+using namespace amaranthdale::control;
+
+namespace {
+
+// Passes messages straight to a handler.
+class DirectSender : public core::HttpSender
+{
+public:
+    explicit DirectSender(core::RequestHandler &requestHandler) : handler(requestHandler) { }
+
+    std::shared_ptr<core::Exchange> send(const core::Endpoint &, core::HttpRequest request,
+                                         core::Duration, core::ResponseHandler respond) override
+    {
+        return this->handler.handle(std::move(request), std::move(respond));
+    }
+
+private:
+    core::RequestHandler &handler;
+};
+
+struct Fixture
+{
+    std::vector<keyspace::KeyCount> counts;
+    int stepDowns = 0;
+    std::unique_ptr<core::RequestHandler> handler = makePeerHandler(
+            core::Incarnation(7),
+            [this](const core::ServiceName &, const std::vector<keyspace::KeyCount> &received) {
+                this->counts = received;
+            },
+            [this](const core::ServiceName &) { ++this->stepDowns; });
+    DirectSender sender{*this->handler};
+    std::unique_ptr<PeerChannel> channel = makePeerChannel(this->sender);
+
+    unsigned post(const std::string &target, const std::string &body)
+    {
+        unsigned status = 0;
+        this->handler->handle({"POST", target, {}, body},
+                              [&status](auto outcome) { status = outcome->status; });
+        return status;
+    }
+};
+
+} // namespace
+
+TEST_CASE("key counts arrive as they were sent")
+{
+    Fixture test;
+    const std::vector<keyspace::KeyCount> sent{{5, 2}, {65535, 1}};
+    test.channel->report("127.0.0.1:1", core::ServiceName("stock"), sent);
+    CHECK(test.counts == sent);
+}
+
+TEST_CASE("malformed messages are refused and change nothing")
+{
+    Fixture test;
+    CHECK(test.post("/key-counts/stock", "5 2") == 400);
+    CHECK(test.post("/key-counts/stock", "five 2\n") == 400);
+    CHECK(test.post("/step-down/stock", "seven") == 400);
+    CHECK(test.post("/unknown", "") == 400);
+    CHECK(test.counts.empty());
+    CHECK(test.stepDowns == 0);
+}
+
+TEST_CASE("the granter that is named steps down, and a later run answers for an earlier one")
+{
+    Fixture test;
+    int ended = 0;
+    for (const std::uint64_t incarnation : {7, 6}) {
+        const keyspace::Predecessor predecessor{
+                {core::InstanceName("edge-1"), core::Incarnation(incarnation)}, "127.0.0.1:1"};
+        test.channel->requestStepDown(predecessor, core::ServiceName("stock"),
+                                      [&ended] { ++ended; });
+    }
+    CHECK(ended == 2);
+    CHECK(test.stepDowns == 1);
+}
--- a/libs/daemon/src/control_loop.h
+++ b/libs/daemon/src/control_loop.h
@@ -3,8 +3,8 @@
 
 #include "amaranthdale/clock/clock.h"
 #include "amaranthdale/log/event_log.h"
-#include "amaranthdale/peer/messages.h"
 #include "amaranthdale/logclient/log_service.h"
+#include "amaranthdale/peer/messages.h"
 #include "amaranthdale/report/recorder.h"
 #include "log_follower.h"
 #include "server_runner.h"
--- a/libs/daemon/src/operator_service.cpp
+++ b/libs/daemon/src/operator_service.cpp
@@ -108,7 +108,7 @@
     else if (path == "/state")
         respond(core::makeResponse(200, records::encodeState(*this->context.shared.state())));
     else
-        respond(errorResponse(404, "no such page; see docs/operations.md"));
+        respond(errorResponse(404, "no such page; see docs/OPERATIONS.md"));
     return nullptr;
 }
 
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "amaranthdale/log/event_log.h"
 #include "amaranthdale/tables/guarded.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
--- a/libs/gateway/include/amaranthdale/gateway/wire_format.h
+++ b/libs/gateway/include/amaranthdale/gateway/wire_format.h
@@ -15,7 +15,7 @@
 {
     core::RequestId id;
     std::string host;
-    std::string path; ///< Without query.
+    std::string path;                       ///< Without query.
     std::optional<core::Duration> patience; ///< How long the caller waits.
     std::optional<keyspace::Key> key;
     core::HttpRequest message; ///< As received.
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -10,8 +10,7 @@
 using tables::LockRank;
 
 Gateway::Gateway(clock::Clock &gatewayClock, core::HttpSender &httpSender,
-                 const WireFormat &wireFormat, log::EventLog &eventLog,
-                 GatewayLimits gatewayLimits)
+                 const WireFormat &wireFormat, log::EventLog &eventLog, GatewayLimits gatewayLimits)
     : clock(gatewayClock), sender(httpSender), wire(wireFormat), events(eventLog),
       limits(std::move(gatewayLimits)), configuration(LockRank::Configuration),
       directory(LockRank::Membership), ownership(LockRank::Ownership),
@@ -51,9 +50,9 @@
     this->refreshBalancers();
 }
 
-balance::ServiceBalancer &
-Gateway::balancerOf(std::map<core::ServiceName, balance::ServiceBalancer> &all,
-                    const core::ServiceName &service) const
+balance::ServiceBalancer &Gateway::balancerOf(
+        std::map<core::ServiceName, balance::ServiceBalancer> &all,
+        const core::ServiceName &service) const
 {
     const auto found = all.find(service);
     if (found != all.end())
@@ -90,8 +89,7 @@
 void Gateway::setAssignment(const core::ServiceName &service, keyspace::Assignment assignment)
 {
     auto shared = std::make_shared<const keyspace::Assignment>(std::move(assignment));
-    this->ownership.with(
-            [&](auto &services) { services[service].assignment = std::move(shared); });
+    this->ownership.with([&](auto &services) { services[service].assignment = std::move(shared); });
     this->wakeWaiters();
 }
 
--- a/libs/gateway/src/request_run.h
+++ b/libs/gateway/src/request_run.h
@@ -25,7 +25,7 @@
     void start(core::HttpRequest message);
     void attempt();
     void send(const catalog::BackendServer &server);
-    void wait(core::TimePoint until, const char *reason);
+    void wait(core::TimePoint until);
     void onResponse(unsigned number, core::Outcome<core::HttpResponse> outcome);
     void onTransportError(const core::Error &error);
     void readBody(core::HttpResponse response);
@@ -50,10 +50,10 @@
     core::ServiceName service;
     balance::Demand demand;
     core::TimePoint sentAt{};
-    core::ServerName server;      ///< Of the attempt in progress.
-    core::ServerName lastServer;  ///< Of the attempt that ended last.
-    unsigned attempts = 0;        ///< Attempts that may have run.
-    unsigned sends = 0;           ///< Attempts that may have reached a server.
+    core::ServerName server;         ///< Of the attempt in progress.
+    core::ServerName lastServer;     ///< Of the attempt that ended last.
+    unsigned attempts = 0;           ///< Attempts that may have run.
+    unsigned sends = 0;              ///< Attempts that may have reached a server.
     std::atomic<unsigned> number{0}; ///< Of the attempt in progress; tells late callbacks.
     core::TimePoint ownerWaitEnd{};
     bool ownerRefused = false; ///< The owner said that it doesn't hold the key.
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -277,8 +277,8 @@
     const char *begin = text.data() + position + parameter.size();
     const auto parsed = std::from_chars(begin, text.data() + text.size(), seconds);
     if (parsed.ec == std::errc())
-        this->idleLimit = std::min<core::Duration>(this->idleLimit,
-                                                   std::chrono::seconds(seconds) / 2);
+        this->idleLimit =
+                std::min<core::Duration>(this->idleLimit, std::chrono::seconds(seconds) / 2);
 }
 
 void ClientConnection::deliverResponse()
--- a/libs/http/src/client_exchange.h
+++ b/libs/http/src/client_exchange.h
@@ -36,8 +36,8 @@
     const core::Endpoint to;
     std::string header;
     std::string body;
-    bool head = false;       ///< The response has no body.
-    bool repeatable = false; ///< May be sent again on a fresh connection.
+    bool head = false;                  ///< The response has no body.
+    bool repeatable = false;            ///< May be sent again on a fresh connection.
     std::optional<core::Header> echoed; ///< Field that the response has to repeat.
     core::Duration timeout{};
     core::TimePoint dueAt;
--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -345,3 +345,43 @@
     CHECK(intact);
     CHECK(received == total);
 }
+
+TEST_CASE("a second response to an earlier request is skipped, and its connection isn't kept")
+{
+    Workers workers;
+    auto client = http::makeBackendClient(workers.context);
+    RawServer server;
+    Waiter waiter;
+    core::HttpRequest request = get();
+    request.headers = {{"Id", "two"}};
+    request.echoed = core::Header{"Id", "two"};
+    client->send(server.endpoint(), std::move(request), longWait, waiter.handler());
+    RawSocket connection(server.acceptor);
+    connection.readUntil("\r\n\r\n");
+    connection.write("HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 3\r\n\r\nold"
+                     "HTTP/1.1 200 OK\r\nId: two\r\nContent-Length: 3\r\n\r\nnew");
+    auto outcome = waiter.get();
+    REQUIRE(outcome);
+    CHECK(core::findHeader(outcome->headers, "Id") == "two");
+    CHECK(bodyOf(*outcome).value() == "new");
+    connection.readUntil();
+    CHECK(connection.sawEnd());
+}
+
+TEST_CASE("a success without the repeated field belongs to no request, a refusal without it does")
+{
+    Workers workers;
+    auto client = http::makeBackendClient(workers.context);
+    RawServer server;
+    Waiter waiter;
+    core::HttpRequest request = get();
+    request.echoed = core::Header{"Id", "two"};
+    client->send(server.endpoint(), std::move(request), longWait, waiter.handler());
+    RawSocket connection(server.acceptor);
+    connection.readUntil("\r\n\r\n");
+    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                     "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    auto outcome = waiter.get();
+    REQUIRE(outcome);
+    CHECK(outcome->status == 503);
+}
--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -164,21 +164,21 @@
     // A range as the granter works on it. Ranges are split here first, then in the record.
     struct Range
     {
-        Holding holding;                ///< The fence may lie above the recorded one.
-        bool confirmed = false;         ///< The owner answered a grant under this fence.
-        bool doubtful = false;          ///< A grant under this fence went unanswered.
-        bool inherited = false;         ///< Earlier granters may still renew it at the owner.
-        unsigned failures = 0;          ///< Grants in a row that were not answered.
-        unsigned raises = 0;            ///< Grants sent only to raise the owner's fence.
-        core::TimePoint heldUntil{};    ///< End of the last grant of this instance that may count.
-        core::TimePoint heldBefore{};   ///< heldUntil before the grant in flight.
-        core::TimePoint lastSent{};     ///< When a grant was sent last.
-        core::TimePoint nextGrant{};    ///< When to renew or repeat.
-        core::TimePoint nextRelease{};  ///< When to repeat a release.
-        OrderId grant = 0;              ///< In flight; 0: none.
-        OrderId release = 0;            ///< In flight; 0: none.
-        bool vacating = false;          ///< Is to leave its owner.
-        bool vacant = false;            ///< Nobody holds it any more.
+        Holding holding;               ///< The fence may lie above the recorded one.
+        bool confirmed = false;        ///< The owner answered a grant under this fence.
+        bool doubtful = false;         ///< A grant under this fence went unanswered.
+        bool inherited = false;        ///< Earlier granters may still renew it at the owner.
+        unsigned failures = 0;         ///< Grants in a row that were not answered.
+        unsigned raises = 0;           ///< Grants sent only to raise the owner's fence.
+        core::TimePoint heldUntil{};   ///< End of the last grant of this instance that may count.
+        core::TimePoint heldBefore{};  ///< heldUntil before the grant in flight.
+        core::TimePoint lastSent{};    ///< When a grant was sent last.
+        core::TimePoint nextGrant{};   ///< When to renew or repeat.
+        core::TimePoint nextRelease{}; ///< When to repeat a release.
+        OrderId grant = 0;             ///< In flight; 0: none.
+        OrderId release = 0;           ///< In flight; 0: none.
+        bool vacating = false;         ///< Is to leave its owner.
+        bool vacant = false;           ///< Nobody holds it any more.
         std::optional<ServerRun> target;
     };
 
@@ -213,13 +213,13 @@
     bool takenOver = false; ///< Another instance, or an earlier run, was the granter before.
     bool steppedDown = false;
     std::optional<Assignment> replaced; ///< The record that this instance's first one replaced.
-    core::TimePoint inheritedUntil{}; ///< Earlier granters may send grants until then.
+    core::TimePoint inheritedUntil{};   ///< Earlier granters may send grants until then.
     core::TimePoint leadSince{};
     core::TimePoint granterSince{}; ///< When the newest granter was first seen.
     core::TimePoint nextAppend{};
     core::TimePoint authorityUntil{};
-    core::TimePoint lastLogAnswer{}; ///< Start of the last read that was answered.
-    core::TimePoint lastLogHeard{};  ///< When the log answered last.
+    core::TimePoint lastLogAnswer{};    ///< Start of the last read that was answered.
+    core::TimePoint lastLogHeard{};     ///< When the log answered last.
     std::optional<AppendOrder> pending; ///< An append whose outcome is open.
     bool pendingSent = false;
     bool pendingDoubtful = false; ///< A copy of it may be appended late.
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -42,8 +42,7 @@
     std::optional<Assignment> before = std::move(this->newest);
     this->end = logEnd;
     this->newest = std::move(record);
-    const bool sameGranter =
-            before && this->newest && before->granter == this->newest->granter;
+    const bool sameGranter = before && this->newest && before->granter == this->newest->granter;
     // The first record that is read may be old: its granter is not taken for a new one.
     if (!sameGranter && before)
         this->granterSince = now;
@@ -374,9 +373,8 @@
         if (range.vacant && !range.target)
             vacant.push_back(range.holding.keys);
     }
-    const bool targeted = std::any_of(this->ranges.begin(), this->ranges.end(), [](const Range &r) {
-        return r.vacant && r.target;
-    });
+    const bool targeted = std::any_of(this->ranges.begin(), this->ranges.end(),
+                                      [](const Range &r) { return r.vacant && r.target; });
     if (this->candidates.empty() || (vacant.empty() && !targeted)) {
         this->vacantSince = now;
         return;
@@ -415,8 +413,8 @@
     case OrderResult::Done:
         // A longer grant of an earlier granter stays in force beside a renewal that is shorter.
         if (found->inherited)
-            found->heldUntil = std::max(found->heldUntil,
-                                        this->holdEndAfter(now, this->limits.longHold));
+            found->heldUntil =
+                    std::max(found->heldUntil, this->holdEndAfter(now, this->limits.longHold));
         found->confirmed = true;
         found->inherited = false;
         found->failures = 0;
--- a/libs/keyspace/src/placement.cpp
+++ b/libs/keyspace/src/placement.cpp
@@ -54,10 +54,8 @@
         for (auto &[run, server] : this->servers) {
             if (&server == except)
                 continue;
-            const bool warmer =
-                    best != nullptr && best->candidate->cold && !server.candidate->cold;
-            const bool colder =
-                    best != nullptr && !best->candidate->cold && server.candidate->cold;
+            const bool warmer = best != nullptr && best->candidate->cold && !server.candidate->cold;
+            const bool colder = best != nullptr && !best->candidate->cold && server.candidate->cold;
             if (best == nullptr || warmer || (!colder && server.relative() < best->relative()))
                 best = &server;
         }
@@ -124,8 +122,8 @@
         return best;
     if (!maySplit || !heaviest || heaviest->size() < 2)
         return best;
-    const Key last = load.splitPoint(*heaviest, model.evenLoad(),
-                                     std::min(excess, heaviestLoad / 2));
+    const Key last =
+            load.splitPoint(*heaviest, model.evenLoad(), std::min(excess, heaviestLoad / 2));
     return KeyRange{heaviest->first, last};
 }
 
--- a/libs/keyspace/tests/granter_model.h
+++ b/libs/keyspace/tests/granter_model.h
@@ -20,12 +20,12 @@
 /// Which faults a run injects.
 struct Faults
 {
-    bool lostAnswers = false;   ///< Calls are carried out without an answer, grants also late.
-    bool cuts = false;          ///< Instances lose the log, or a server, for some seconds.
-    bool restarts = false;      ///< Servers and instances restart; servers keep name or address.
-    bool reelections = false;   ///< Another instance is elected every now and then.
-    bool membership = false;    ///< Servers drain and return.
-    bool suspensions = false;   ///< Instances stand still and go on as if nothing had happened.
+    bool lostAnswers = false; ///< Calls are carried out without an answer, grants also late.
+    bool cuts = false;        ///< Instances lose the log, or a server, for some seconds.
+    bool restarts = false;    ///< Servers and instances restart; servers keep name or address.
+    bool reelections = false; ///< Another instance is elected every now and then.
+    bool membership = false;  ///< Servers drain and return.
+    bool suspensions = false; ///< Instances stand still and go on as if nothing had happened.
 };
 
 /// A backend server as the platform's pages describe it.
@@ -39,7 +39,7 @@
     };
 
     core::ServerName name;
-    std::uint64_t incarnation = 1;     ///< 0: down.
+    std::uint64_t incarnation = 1;       ///< 0: down.
     std::uint64_t listedIncarnation = 1; ///< The run that the registry names.
     bool draining = false;
     std::vector<Grant> grants;
@@ -82,7 +82,7 @@
     {
         std::unique_ptr<Granter> granter;
         bool alive = true;
-        core::TimePoint cutUntil{};      ///< No log until then.
+        core::TimePoint cutUntil{}; ///< No log until then.
         core::TimePoint suspendedUntil{};
         core::TimePoint nextRead{};
         std::map<std::size_t, core::TimePoint> serverCut;
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -14,8 +14,8 @@
 constexpr unsigned unacknowledgedMilliseconds = 3000;
 
 // Silence after which probes start, their distance, and how many may go unanswered.
-constexpr int probeAfterSeconds = 1;
-constexpr int probeIntervalSeconds = 1;
+constexpr std::chrono::seconds silenceBeforeProbe{1};
+constexpr std::chrono::seconds probeInterval{1};
 constexpr int mostLostProbes = 2;
 
 using ProbeAfter = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -51,8 +51,8 @@
 {
     ErrorCode ignored;
     socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(ProbeAfter(probeAfterSeconds), ignored);
-    socket.set_option(ProbeInterval(probeIntervalSeconds), ignored);
+    socket.set_option(ProbeAfter(static_cast<int>(silenceBeforeProbe.count())), ignored);
+    socket.set_option(ProbeInterval(static_cast<int>(probeInterval.count())), ignored);
     socket.set_option(LostProbes(mostLostProbes), ignored);
 }
 
