Drop what nothing uses from the granter and its control

Cause: reading the diff showed a stop that nobody calls, a time that nobody reads, and a comment that no longer matched the code.

Change: both are gone, the comment says what is kept.

--- a/libs/control/include/amaranthdale/control/key_control.h
+++ b/libs/control/include/amaranthdale/control/key_control.h
@@ -33,9 +33,6 @@
 
     void start();
 
-    /// Gives up the granter's work, without a successor; for a planned stop.
-    void stop();
-
     /// Stops granting, as a successor asks for.
     void stepDown();
 
@@ -77,7 +74,6 @@
     const core::InstanceId self;
     const std::string peer;
     tables::Guarded<State> state;
-    std::atomic<bool> stopped{false};
     std::atomic<bool> readFailing{false};
 };
 
--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -41,11 +41,6 @@
     this->scheduleTick();
 }
 
-void KeyControl::stop()
-{
-    this->stopped = true;
-}
-
 bool KeyControl::isGranter() const
 {
     return this->state.with([](const State &current) { return current.granter.isGranter(); });
@@ -65,8 +60,6 @@
 
 void KeyControl::readLog(bool waiting)
 {
-    if (this->stopped)
-        return;
     const auto from = this->state.with([](const State &current) {
         const bool known = current.granter.assignment().has_value() && !current.granter.needsLog();
         return known ? std::optional(current.granter.logEnd()) : std::nullopt;
@@ -140,8 +133,6 @@
 
 void KeyControl::onTimer()
 {
-    if (this->stopped)
-        return;
     this->tick();
     this->reportLoad(this->parts.clock.now());
     this->askPredecessor(this->parts.clock.now());
@@ -150,8 +141,6 @@
 
 void KeyControl::tick()
 {
-    if (this->stopped)
-        return;
     const core::TimePoint now = this->parts.clock.uptime();
     const auto candidates = this->parts.gateway.candidates(this->service);
     const bool elected = this->parts.election.isElected(this->service);
--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -214,7 +214,6 @@
     bool steppedDown = false;
     std::optional<Assignment> replaced; ///< The record that this instance's first one replaced.
     core::TimePoint inheritedUntil{};   ///< Earlier granters may send grants until then.
-    core::TimePoint leadSince{};
     core::TimePoint granterSince{}; ///< When the newest granter was first seen.
     core::TimePoint nextAppend{};
     core::TimePoint authorityUntil{};
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -58,7 +58,6 @@
     }
     this->authorityUntil = std::max(this->authorityUntil, readBegan + this->limits.authority);
     if (!wasGranter) {
-        this->leadSince = now;
         this->inheritedUntil = now + this->limits.authority;
         this->replaced = std::move(before);
     }
@@ -97,8 +96,8 @@
     return (this->end + 1) * fencesPerRecord;
 }
 
-// Takes the record over. State of a range is kept where owner and keys lie inside a range that was
-// worked on before under the same or a raised fence.
+// Takes the record over. The state of a range is kept where its keys and owner stay and its fence
+// has not risen beyond the one in use.
 void Granter::adopt(const Assignment &assignment, bool inherited)
 {
     std::vector<Range> earlier = std::move(this->ranges);
