--- a/libs/keyspace/include/amaranthdale/keyspace/granter.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/granter.h
@@ -214,7 +214,7 @@
     bool steppedDown = false;
     std::optional<Assignment> replaced; ///< The record that this instance's first one replaced.
     core::TimePoint inheritedUntil{};   ///< Earlier granters may send grants until then.
-    core::TimePoint granterSince{}; ///< When the newest granter was first seen.
+    core::TimePoint granterSince{};     ///< When the newest granter was first seen.
     core::TimePoint nextAppend{};
     core::TimePoint authorityUntil{};
     core::TimePoint lastLogAnswer{};    ///< Start of the last read that was answered.
