--- a/libs/keyspace/tests/granter_test.cpp
+++ b/libs/keyspace/tests/granter_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace {
@@ -191,3 +192,50 @@
     CHECK(appendOf(granter.tick(now + milliseconds(50), KeyLoad())) == nullptr);
     CHECK(appendOf(granter.tick(now + milliseconds(400), KeyLoad())) != nullptr);
 }
+
+TEST_CASE(
+        "a short renewal by a successor does not end the wait for an earlier granter's long grant")
+{
+    const GranterLimits limits;
+    Granter granter(instance("b"), "", limits);
+    granter.setElected(true);
+    granter.setServers(servers(2), start);
+    Assignment record;
+    record.granter = instance("a");
+    record.settled = true;
+    record.holdings = placeInitially(servers(2), PlacementLimits());
+    granter.onLog(record, 1, start, start);
+    core::TimePoint now = start + seconds(1);
+    const auto takeover = granter.tick(now, KeyLoad());
+    REQUIRE(appendOf(takeover) != nullptr);
+    granter.onAppend(appendOf(takeover)->id, AppendResult::Done, now);
+    for (const Order &order : granter.tick(now, KeyLoad()))
+        granter.onGrant(std::get<GrantOrder>(order).id, OrderResult::Done, now);
+    granter.onPredecessorEnded(now);
+
+    // Server s0 can't be reached any more; its keys may move once the long grant has run out.
+    const core::TimePoint confirmed = now;
+    granter.setServers({servers(2)[1]}, now);
+    bool moved = false;
+    while (!moved && now < confirmed + seconds(20)) {
+        now += milliseconds(100);
+        granter.onLogUnchanged(now, now);
+        for (const Order &order : granter.tick(now, KeyLoad())) {
+            if (const auto *grant = std::get_if<GrantOrder>(&order))
+                granter.onGrant(grant->id,
+                                grant->holding.owner.name.value == "s0" ? OrderResult::NotSent
+                                                                        : OrderResult::Done,
+                                now);
+            else if (const auto *release = std::get_if<ReleaseOrder>(&order))
+                granter.onRelease(release->id, OrderResult::NotSent, "", now);
+            else
+                granter.onAppend(std::get<AppendOrder>(order).id, AppendResult::Done, now);
+        }
+        const auto &holdings = granter.assignment()->holdings;
+        moved = std::none_of(holdings.begin(), holdings.end(), [](const Holding &holding) {
+            return holding.owner.name.value == "s0";
+        });
+    }
+    CHECK(moved);
+    CHECK(now >= confirmed + limits.longHold);
+}
