Read the store through one instance of each data centre; divide budgets by the members

Change: libs/membership lists the instances and names the strongest of a data centre; libs/relay lets it read the store for the others, which fall back to the store when it is lost or silent.

--- a/libs/balance/include/amaranthdale/balance/retry_budget.h
+++ b/libs/balance/include/amaranthdale/balance/retry_budget.h
@@ -8,17 +8,19 @@
 /// What all instances together may send again to one service.
 struct RetryLimits
 {
-    double ratio = 0.1; ///< Repeats for each request.
-    double burst = 3;   ///< Repeats of this instance that need no requests before them.
-    double most = 12;   ///< Unused repeats kept for later.
+    double ratio = 0.1;  ///< Repeats for each request.
+    double reserve = 40; ///< Repeats in a window besides, divided by the number of instances.
 };
 
 /// A token bucket that requests fill and repeats empty. Not thread-safe.
 class RetryBudget
 {
 public:
-    explicit RetryBudget(RetryLimits retryLimits) : limits(retryLimits), tokens(retryLimits.burst)
-    { }
+    /// Starts with half of the most that is kept for later.
+    RetryBudget(RetryLimits retryLimits, unsigned instances);
+
+    /// Divides the reserve by another number of instances.
+    void setInstances(unsigned instances);
 
     void onRequest();
 
@@ -29,7 +31,8 @@
 
 private:
     RetryLimits limits;
-    double tokens;
+    double most;   ///< Unused repeats kept for later.
+    double tokens; ///< Invariant: at most `most`.
 };
 
 } // namespace amaranthdale::balance
--- a/libs/balance/include/amaranthdale/balance/server_load.h
+++ b/libs/balance/include/amaranthdale/balance/server_load.h
@@ -55,6 +55,9 @@
     /// False while the server is avoided after it could not be reached.
     bool isTrusted(core::TimePoint now) const { return now >= this->avoidUntil; }
 
+    /// A cold server gets nothing of this instance before `first`.
+    void delayWarmup(core::TimePoint first) { this->firstWarmup = first; }
+
     /// Takes one request of a cold server's allowance of `rate` requests/s. True for warm servers.
     bool takeWarmup(double rate, core::TimePoint now);
 
@@ -83,7 +86,8 @@
     core::TimePoint failuresAt{};
     core::TimePoint avoidUntil{};
     unsigned unreachableInRow = 0;
-    core::TimePoint lastWarmup{};
+    core::TimePoint firstWarmup{};
+    core::TimePoint nextWarmupAt{};
 };
 
 } // namespace amaranthdale::balance
--- a/libs/balance/include/amaranthdale/balance/service_balancer.h
+++ b/libs/balance/include/amaranthdale/balance/service_balancer.h
@@ -52,7 +52,7 @@
 /// Bounds that all instances share, as this instance's part of them.
 struct BalancerShare
 {
-    unsigned instances = 12; ///< Instances that may send; the default is used until it is known.
+    unsigned instances = 128; ///< Instances that may send; the default is used until it is known.
 };
 
 /// The servers of one service as one instance sees them. Not thread-safe.
@@ -63,8 +63,8 @@
                     std::uint64_t seed);
 
     void setService(const catalog::Service &configured) { this->service = configured; }
-    void setServers(const catalog::BackendServers &usable);
-    void setShare(BalancerShare balancerShare) { this->share = balancerShare; }
+    void setServers(const catalog::BackendServers &usable, core::TimePoint now);
+    void setShare(BalancerShare balancerShare);
 
     /// Counts a request for the retry budget.
     void onRequest() { this->budget.onRequest(); }
@@ -98,6 +98,7 @@
     Choice chooseOwner(const Demand &demand, core::TimePoint now);
     Choice accept(const Option &option, const Demand &demand, core::TimePoint now);
     double warmupRate() const;
+    core::Duration warmupInterval() const;
     unsigned connectionShare() const;
 
     catalog::Service service;
--- a/libs/balance/src/server_load.cpp
+++ b/libs/balance/src/server_load.cpp
@@ -106,7 +106,7 @@
         return true;
     if (now < this->nextWarmup(rate, now))
         return false;
-    this->lastWarmup = now;
+    this->nextWarmupAt = now + warmupInterval(rate);
     return true;
 }
 
@@ -114,8 +114,8 @@
 {
     if (!this->isCold(now) || rate <= 0)
         return now;
-    return std::max(now,
-                    std::min(this->lastWarmup + warmupInterval(rate), this->backend.coldUntil));
+    const core::TimePoint due = std::max(this->firstWarmup, this->nextWarmupAt);
+    return std::max(now, std::min(due, this->backend.coldUntil));
 }
 
 double ServerLoad::capacity() const
--- a/libs/balance/src/service_balancer.cpp
+++ b/libs/balance/src/service_balancer.cpp
@@ -27,6 +27,13 @@
 // Part of the estimate that is random, so that instances with the same reports spread out.
 constexpr double jitter = 0.15;
 
+// Few instances send to a cold server about once a second or more often each, so that arrivals in
+// one second exceed its rate by less than their number. Many send rarely and at random times: with
+// this part of the rate, one and a half times the rate and some more is exceeded in less than one
+// second of a million.
+constexpr double evenSenders = 0.65; // Instances for each request/s.
+constexpr double sparseWarmupRate = 0.6;
+
 // Retry-After of refusals for lack of capacity; queues of this size clear within it.
 constexpr double usedConnections = 0.7;
 constexpr unsigned leastConnections = 3;
@@ -46,26 +53,35 @@
 
 ServiceBalancer::ServiceBalancer(RetryLimits retryLimits, core::DataCentreName ownDataCentre,
                                  std::uint64_t seed)
-    : budget(retryLimits), dataCentre(std::move(ownDataCentre)),
+    : budget(retryLimits, BalancerShare().instances), dataCentre(std::move(ownDataCentre)),
       random(static_cast<std::uint32_t>(seed))
 { }
 
-void ServiceBalancer::setServers(const catalog::BackendServers &usable)
+void ServiceBalancer::setServers(const catalog::BackendServers &usable, core::TimePoint now)
 {
+    boost::random::uniform_01<double> uniform;
     std::map<core::ServerName, ServerLoad> next;
     for (const catalog::BackendServer &server : usable) {
         const auto known = this->servers.find(server.name);
-        if (known == this->servers.end()
-            || known->second.server().incarnation != server.incarnation) {
-            next.emplace(server.name, ServerLoad(server));
-            continue;
-        }
-        known->second.update(server);
-        next.emplace(server.name, std::move(known->second));
+        const bool same = known != this->servers.end()
+                && known->second.server().incarnation == server.incarnation;
+        const bool wasCold = same && known->second.isCold(now);
+        ServerLoad load = same ? std::move(known->second) : ServerLoad(server);
+        load.update(server);
+        // All instances learn of a cold server at once; their first requests are spread out.
+        if (load.isCold(now) && !wasCold && this->service.warmupRate > 0)
+            load.delayWarmup(now + scale(this->warmupInterval(), uniform(this->random)));
+        next.emplace(server.name, std::move(load));
     }
     this->servers = std::move(next);
 }
 
+void ServiceBalancer::setShare(BalancerShare balancerShare)
+{
+    this->share = balancerShare;
+    this->budget.setInstances(balancerShare.instances);
+}
+
 core::Duration ServiceBalancer::usualTime(const Demand &demand) const
 {
     const auto known = this->usualOfRoute.find(demand.route);
@@ -75,7 +91,14 @@
 
 double ServiceBalancer::warmupRate() const
 {
-    return this->service.warmupRate / std::max(1U, this->share.instances);
+    const double rate = this->service.warmupRate;
+    const unsigned instances = std::max(1U, this->share.instances);
+    return (instances <= evenSenders * rate ? rate : sparseWarmupRate * rate) / instances;
+}
+
+core::Duration ServiceBalancer::warmupInterval() const
+{
+    return std::chrono::duration_cast<core::Duration>(Seconds(1 / this->warmupRate()));
 }
 
 // Servers reset connections beyond their limit, which counts all instances, and lower it while
--- a/libs/balance/tests/balancer_test.cpp
+++ b/libs/balance/tests/balancer_test.cpp
@@ -21,15 +21,16 @@
     return entry;
 }
 
-ServiceBalancer balancer(const catalog::BackendServers &servers, double warmupRate = 14)
+ServiceBalancer balancer(const catalog::BackendServers &servers, double warmupRate = 14,
+                         unsigned seed = 1)
 {
-    ServiceBalancer made(RetryLimits{}, core::DataCentreName("east"), 1);
+    ServiceBalancer made(RetryLimits{}, core::DataCentreName("east"), seed);
     catalog::Service service;
     service.maxConnections = 110;
     service.warmupRate = warmupRate;
     made.setService(service);
     made.setShare({9});
-    made.setServers(servers);
+    made.setServers(servers, start);
     return made;
 }
 
@@ -53,30 +54,43 @@
 
 TEST_CASE("all instances together stay below what a cold server sustains in any second")
 {
-    // 9 instances that all have more requests than the cold server takes.
-    constexpr int instances = 9;
-    std::vector<ServiceBalancer> all;
-    catalog::BackendServer cold = server("a");
-    cold.coldUntil = start + seconds(10);
-    for (int index = 0; index < instances; ++index)
-        all.push_back(balancer({cold}));
-    std::vector<core::TimePoint> arrivals;
-    for (auto now = start; now < start + seconds(5); now += milliseconds(10)) {
-        for (ServiceBalancer &one : all) {
-            if (chosen(one.choose(demand(now), now)) != "a")
-                continue;
-            arrivals.push_back(now);
-            one.onEnd(core::ServerName("a"), "stock", AttemptResult::Answered, now, now);
+    // Requests/s that a cold server sustains, instances, and what the platform's rules allow in one
+    // second. 58 and 90 instances broke the bound while each sent its first request at once.
+    struct Deployment
+    {
+        double rate;
+        int instances;
+        int allowed;
+        std::size_t least;
+    };
+    for (const Deployment &deployment :
+         {Deployment{14, 9, 26, 50}, Deployment{9.2, 58, 21, 20}, Deployment{4.3, 90, 14, 9}}) {
+        // All instances have more requests than the cold server takes.
+        std::vector<ServiceBalancer> all;
+        catalog::BackendServer cold = server("a");
+        cold.coldUntil = start + seconds(10);
+        for (int index = 0; index < deployment.instances; ++index) {
+            all.push_back(balancer({}, deployment.rate, static_cast<unsigned>(index)));
+            all.back().setShare({static_cast<unsigned>(deployment.instances)});
+            all.back().setServers({cold}, start);
         }
+        std::vector<core::TimePoint> arrivals;
+        for (auto now = start; now < start + seconds(5); now += milliseconds(10)) {
+            for (ServiceBalancer &one : all) {
+                if (chosen(one.choose(demand(now), now)) != "a")
+                    continue;
+                arrivals.push_back(now);
+                one.onEnd(core::ServerName("a"), "stock", AttemptResult::Answered, now, now);
+            }
+        }
+        for (const core::TimePoint first : arrivals) {
+            const auto inSecond = std::count_if(arrivals.begin(), arrivals.end(), [&](auto time) {
+                return time >= first && time < first + seconds(1);
+            });
+            CHECK(inSecond <= deployment.allowed);
+        }
+        CHECK(arrivals.size() > deployment.least);
     }
-    // 14 requests/s, times 1.5, plus 5 are the most that the platform's rules allow.
-    for (const core::TimePoint first : arrivals) {
-        const auto inSecond = std::count_if(arrivals.begin(), arrivals.end(), [&](auto time) {
-            return time >= first && time < first + seconds(1);
-        });
-        CHECK(inSecond <= 26);
-    }
-    CHECK(arrivals.size() > 50);
 }
 
 TEST_CASE("a server that can't be reached is avoided, then tried again")
@@ -121,9 +135,27 @@
     CHECK(refusal->reason == "over-capacity");
 }
 
+// Dividing the reserve by a fixed number let 58 instances save up five times the common reserve.
+TEST_CASE("the repeats that many instances save up stay below the common reserve")
+{
+    constexpr unsigned instances = 58;
+    constexpr double reserve = 156;
+    int repeats = 0;
+    for (unsigned index = 0; index < instances; ++index) {
+        RetryBudget budget(RetryLimits{.ratio = 0.15, .reserve = reserve}, 128);
+        budget.setInstances(instances);
+        for (int request = 0; request < 1000; ++request)
+            budget.onRequest();
+        while (budget.take())
+            ++repeats;
+    }
+    CHECK(repeats <= reserve);
+    CHECK(repeats >= reserve / 2);
+}
+
 TEST_CASE("repeats stay below the ratio plus the reserve")
 {
-    RetryBudget budget(RetryLimits{.ratio = 0.15, .burst = 2, .most = 5});
+    RetryBudget budget(RetryLimits{.ratio = 0.15, .reserve = 5}, 1);
     int repeats = 0;
     for (int request = 0; request < 1000; ++request) {
         budget.onRequest();
--- a/libs/control/include/amaranthdale/control/interfaces.h
+++ b/libs/control/include/amaranthdale/control/interfaces.h
@@ -18,6 +18,13 @@
     bool changed = false; ///< False: nothing was added since the offset of the read.
     std::optional<keyspace::Assignment> newest; ///< Newest record, where `changed`.
     std::uint64_t end = 0;                      ///< Offset of the next record.
+    core::Duration age{};                       ///< The state may be this much older than the call.
+};
+
+/// Who may answer a read.
+enum class ReadFrom {
+    Anyone, ///< Another instance may pass on what it has read.
+    Log,    ///< The log itself, for decisions that rest on the time of the read.
 };
 
 /// Durable assignments, one log for each keyed service. Thread-safe.
@@ -32,7 +39,7 @@
     /// Reads what was added at or after offset `from`, or the newest record where it is unset.
     /// Waits up to `wait` for an addition.
     virtual void read(const core::ServiceName &service, std::optional<std::uint64_t> from,
-                      core::Duration wait, ReadHandler handler) = 0;
+                      core::Duration wait, ReadFrom source, ReadHandler handler) = 0;
 
     /// Appends, provided that the log ends at the order's offset.
     virtual void append(const core::ServiceName &service, const keyspace::AppendOrder &order,
@@ -77,7 +84,6 @@
                                  const core::ServiceName &service, std::function<void()> ended) = 0;
 
     /// Sends key counts to the granter.
-
     virtual void report(const std::string &granterPeer, const core::ServiceName &service,
                         const std::vector<keyspace::KeyCount> &counts) = 0;
 };
--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-// The granter reads often, as each read extends its authority; others only wait for news.
+// The granter reads often, as each read extends its authority. Others wait for news; the wait stays
+// below the time after which a relay counts as cut off from the log.
 constexpr auto granterWait = std::chrono::milliseconds(900);
-constexpr auto followerWait = std::chrono::seconds(3);
+constexpr auto followerWait = std::chrono::seconds(1);
 constexpr auto readRetry = std::chrono::milliseconds(300);
+constexpr auto firstRecordRetry = std::chrono::seconds(1);
 constexpr auto granterTick = std::chrono::milliseconds(100);
 constexpr auto followerTick = std::chrono::milliseconds(250);
 constexpr auto stepDownRepeat = std::chrono::milliseconds(300);
@@ -66,10 +68,11 @@
     });
     const core::TimePoint began = this->parts.clock.uptime();
     core::Duration wait = core::Duration::zero();
+    const bool granter = this->isGranter();
     if (waiting)
-        wait = this->isGranter() ? core::Duration(granterWait) : core::Duration(followerWait);
+        wait = granter ? core::Duration(granterWait) : core::Duration(followerWait);
     this->parts.assignments.read(
-            this->service, from, wait,
+            this->service, from, wait, granter ? ReadFrom::Log : ReadFrom::Anyone,
             [self = this->shared_from_this(), waiting, began](core::Outcome<LogState> outcome) {
                 self->onRead(waiting, began, std::move(outcome));
             });
@@ -93,9 +96,10 @@
         if (outcome->changed && outcome->end < current.granter.logEnd())
             return;
         if (outcome->changed)
-            current.granter.onLog(std::move(outcome->newest), outcome->end, began, now);
+            current.granter.onLog(std::move(outcome->newest), outcome->end, began - outcome->age,
+                                  now);
         else
-            current.granter.onLogUnchanged(began, now);
+            current.granter.onLogUnchanged(began - outcome->age, now);
     });
     if (!failed && outcome->changed)
         this->publish();
@@ -106,11 +110,12 @@
     const bool empty = !failed && outcome->changed && outcome->end == 0;
     if (!failed && !empty)
         return this->readLog(true);
-    this->parts.clock.schedule(this->parts.clock.now() + readRetry,
-                               [weak = this->weak_from_this()] {
-                                   if (const auto control = weak.lock())
-                                       control->readLog(true);
-                               });
+    const core::Duration delay =
+            empty ? core::Duration(firstRecordRetry) : core::Duration(readRetry);
+    this->parts.clock.schedule(this->parts.clock.now() + delay, [weak = this->weak_from_this()] {
+        if (const auto control = weak.lock())
+            control->readLog(true);
+    });
 }
 
 void KeyControl::publish()
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -79,6 +79,9 @@
 
     Statistics &statistics() { return this->stats; }
 
+    /// Refuses every further request, as this instance ends before most could be answered.
+    void stopAccepting() { this->stopping = true; }
+
     /// Requests that are being served.
     std::size_t requestsInProgress() const;
 
@@ -117,8 +120,9 @@
     // shares.
     tables::Guarded<std::map<std::string, std::map<core::ServiceName, double>>> shareCredits;
     tables::Guarded<std::vector<Waiter>> waiters;
-    std::atomic<unsigned> instanceCount{12};
+    std::atomic<unsigned> instanceCount{balance::BalancerShare().instances};
     std::atomic<std::size_t> inProgress{0};
+    std::atomic<bool> stopping{false};
     Statistics stats;
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -67,13 +67,14 @@
     const auto table = this->routes();
     if (!table)
         return;
+    const core::TimePoint now = this->clock.now();
     this->directory.with([&](const catalog::Directory &servers) {
         this->balancers.with([&](auto &all) {
             for (const catalog::Service &service : table->services()) {
                 balance::ServiceBalancer &balancer = this->balancerOf(all, service.name);
                 balancer.setService(service);
-                balancer.setServers(servers.usable(service.name));
                 balancer.setShare({this->instanceCount});
+                balancer.setServers(servers.usable(service.name), now);
             }
         });
     });
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -28,6 +28,7 @@
 constexpr auto ownerRepeatDelay = std::chrono::milliseconds(30);
 
 constexpr auto unconfiguredRetry = std::chrono::milliseconds(500);
+constexpr auto stoppingRetry = std::chrono::milliseconds(50); // Another instance takes it at once.
 constexpr auto ownerRetry = std::chrono::milliseconds(300);
 
 // Statuses that promise that a request has not run; a server's own use of one promises nothing.
@@ -108,6 +109,8 @@
     if (!decoded)
         return this->fail(badRequest, decoded.error().message);
     this->request = std::move(*decoded);
+    if (this->gateway.stopping)
+        return this->refuse(stoppingRetry, "stopping");
     this->table = this->gateway.routes();
     if (!this->table)
         return this->refuse(unconfiguredRetry, "no-configuration");
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -109,9 +109,10 @@
     {
         GatewayLimits limits;
         limits.dataCentre = core::DataCentreName("east");
-        limits.retries = {.ratio = 0.5, .burst = 5, .most = 5};
+        limits.retries = {.ratio = 0.5, .reserve = 10};
         this->gateway = std::make_unique<Gateway>(this->clock, this->sender, this->format,
                                                   this->events, limits);
+        this->gateway->setInstances(1);
         this->gateway->setCatalogue(makeCatalogue(1));
         this->gateway->changeDirectory([](catalog::Directory &servers) {
             for (const char *name : {"a", "b"}) {
@@ -180,6 +181,17 @@
 
 } // namespace
 
+// A request that was taken 3.2 s after SIGTERM was cut by the end of the process 2.5 s later.
+TEST_CASE("an instance that is about to end refuses at once instead of cutting a request later")
+{
+    Fixture test;
+    test.gateway->stopAccepting();
+    test.send("/read/1");
+    CHECK(test.sender.sent.empty());
+    REQUIRE(test.status() == 503);
+    CHECK(core::findHeader(test.response->headers, "Retry-After"));
+}
+
 TEST_CASE("before the first configuration a request is refused as not run, not as unknown")
 {
     Fixture test;
--- /dev/null
+++ b/libs/membership/tests/member_text_test.cpp
@@ -0,0 +1,38 @@
+// Text form of members: what other instances and the store hold.
+#include "amaranthdale/membership/member_text.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using namespace amaranthdale;
+using namespace amaranthdale::membership;
+
+namespace {
+
+// RapidCheck prints the seed of a failure; a fixed one gives the same verdict each time.
+const int seedSet = ::setenv("RC_PARAMS", "seed=20261204", 0);
+
+} // namespace
+
+TEST_CASE("members survive their text form")
+{
+    const Member member{
+            core::InstanceName("edge-1"), core::DataCentreName("poa"), {"10.1.0.15", 7620}, 0.2};
+    CHECK(formatMember(member) == "edge-1|poa|10.1.0.15:7620|0.200");
+    const auto parsed = parseMembers(formatMembers({member, member}));
+    REQUIRE(parsed);
+    CHECK(*parsed == std::vector<Member>{member, member});
+}
+
+TEST_CASE("a text that is no member is an error, never an instance without address")
+{
+    for (const char *text :
+         {"", "edge-1", "a|b|c|d", "a|b|10.0.0.1:5", "|b|10.0.0.1:5|1", "a|b|10.0.0.1:5|0",
+          "a|b|10.0.0.1:5|-1", "a|b|10.0.0.1:5|1|x", "a|b|10.0.0.1:5|nan"})
+        CHECK(!parseMember(text));
+    const bool safe = rc::check("arbitrary texts do no harm",
+                                [](const std::string &text) { parseMembers(text); });
+    CHECK(safe);
+}
--- /dev/null
+++ b/libs/relay/src/record_codec.h
@@ -0,0 +1,16 @@
+// Encoding of records between instances.
+//
+// Each record: offset (8 bytes), length of the key and of the value (4 bytes each, big-endian),
+// key, value. A length of `noValue` stands for a removed key.
+#pragma once
+
+#include "amaranthdale/relay/record_source.h"
+
+namespace amaranthdale::relay {
+
+std::string encodeRecords(const std::vector<Record> &records);
+
+/// Fails with Protocol on a body that is not a whole number of records.
+core::Outcome<std::vector<Record>> decodeRecords(std::string_view body);
+
+} // namespace amaranthdale::relay
--- /dev/null
+++ b/libs/relay/tests/relay_test.cpp
@@ -0,0 +1,288 @@
+// Reads through a relay, and the ways out when the relay or the store is away.
+#include "amaranthdale/clock/manual_clock.h"
+#include "amaranthdale/log/capturing_log.h"
+#include "amaranthdale/relay/relay.h"
+
+#include "record_codec.h"
+#include "record_tail.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <deque>
+#include <map>
+
+using namespace amaranthdale;
+using namespace amaranthdale::relay;
+using std::chrono::milliseconds;
+
+namespace {
+
+// RapidCheck prints the seed of a failure; a fixed one gives the same verdict each time.
+const int seedSet = ::setenv("RC_PARAMS", "seed=20261204", 0);
+
+// A store whose answers the test gives.
+class ScriptedStore : public RecordSource
+{
+public:
+    struct Call
+    {
+        std::uint64_t from = 0;
+        Handler<Batch> handler;
+    };
+
+    void readNewest(const Partition &, Handler<Snapshot>) override { }
+
+    void read(const Partition &, std::uint64_t from, core::Duration,
+              Handler<Batch> handler) override
+    {
+        this->calls.push_back({from, std::move(handler)});
+    }
+
+    void answer(const std::vector<Record> &records, std::uint64_t end)
+    {
+        const Call call = this->take();
+        Batch batch;
+        batch.records = records;
+        batch.end = end;
+        call.handler(batch);
+    }
+
+    void fail() { this->take().handler(core::Error{core::ErrorKind::Timeout, "no answer"}); }
+
+    Call take()
+    {
+        REQUIRE(!this->calls.empty());
+        Call call = std::move(this->calls.front());
+        this->calls.pop_front();
+        return call;
+    }
+
+    std::deque<Call> calls;
+};
+
+// Hands requests to the relays of other instances; unreachable ones time out at once.
+class PeerNetwork : public core::HttpSender
+{
+public:
+    std::shared_ptr<core::Exchange> send(const core::Endpoint &to, core::HttpRequest request,
+                                         core::Duration, core::ResponseHandler handler) override
+    {
+        ++this->sent;
+        const auto found = this->relays.find(to.port);
+        if (found == this->relays.end())
+            handler(core::Error{core::ErrorKind::Timeout, "unreachable"});
+        else
+            found->second->handle(std::move(request), std::move(handler));
+        return nullptr;
+    }
+
+    std::map<std::uint16_t, Relay *> relays;
+    int sent = 0;
+};
+
+const Partition topic{"topic", 3};
+
+membership::Member member(const std::string &name, std::uint16_t port, double cores)
+{
+    return {core::InstanceName(name), core::DataCentreName("a"), {"127.0.0.1", port}, cores};
+}
+
+Record record(const std::string &key, std::uint64_t offset)
+{
+    return Record{key, "value of " + key, offset};
+}
+
+// The relay "big" and the instance "small" of one data centre, each with its own store client.
+struct Fixture
+{
+    Fixture() : bigMembers(member("big", 1, 2)), smallMembers(member("small", 2, 1))
+    {
+        const std::vector<membership::Member> all{member("big", 1, 2), member("small", 2, 1)};
+        this->bigMembers.update(all, this->clock.now());
+        this->smallMembers.update(all, this->clock.now());
+        this->big = makeRelay(this->bigStore, this->network, this->bigMembers, this->clock,
+                              this->events);
+        this->small = makeRelay(this->smallStore, this->network, this->smallMembers, this->clock,
+                                this->events);
+        this->network.relays[1] = this->big.get();
+    }
+
+    void readAtBig(std::uint64_t from)
+    {
+        this->big->read(topic, from, milliseconds(1000), [](auto) {});
+    }
+
+    void readAtSmall(std::uint64_t from)
+    {
+        this->small->read(topic, from, milliseconds(1000), [this](core::Outcome<Batch> batch) {
+            this->results.push_back(std::move(batch));
+        });
+    }
+
+    clock::ManualClock clock;
+    log::CapturingLog events;
+    PeerNetwork network;
+    membership::Members bigMembers;
+    membership::Members smallMembers;
+    ScriptedStore bigStore;
+    ScriptedStore smallStore;
+    std::shared_ptr<Relay> big;
+    std::shared_ptr<Relay> small;
+    std::vector<core::Outcome<Batch>> results;
+};
+
+} // namespace
+
+TEST_CASE("an instance gets new records from the relay without a call to the store")
+{
+    Fixture test;
+    test.readAtBig(5);
+    test.bigStore.answer({}, 5);
+    test.readAtSmall(5);
+    CHECK(test.results.empty());
+    test.readAtBig(5);
+    test.clock.advance(milliseconds(100));
+    test.bigStore.answer({record("k", 5)}, 6);
+    REQUIRE(test.results.size() == 1);
+    REQUIRE(test.results[0]);
+    CHECK(test.results[0]->end == 6);
+    REQUIRE(test.results[0]->records.size() == 1);
+    CHECK(test.results[0]->records[0] == record("k", 5));
+    CHECK(test.smallStore.calls.empty());
+}
+
+TEST_CASE("a wait without news ends with the unchanged offset")
+{
+    Fixture test;
+    test.readAtBig(5);
+    test.bigStore.answer({}, 5);
+    test.readAtSmall(5);
+    test.clock.advance(milliseconds(1000));
+    REQUIRE(test.results.size() == 1);
+    CHECK(test.results[0]->end == 5);
+    CHECK(test.results[0]->records.empty());
+}
+
+// Without this, followers of a relay that lost the store would go on with old records although
+// they reach the store themselves.
+TEST_CASE("a relay that loses the store sends its followers to the store")
+{
+    Fixture test;
+    test.readAtBig(5);
+    test.bigStore.answer({}, 5);
+    test.readAtBig(5);
+    test.clock.advance(milliseconds(100));
+    test.readAtSmall(5);
+    test.bigStore.fail();
+    CHECK(test.smallStore.calls.size() == 1);
+    CHECK(test.small->isRelay());
+}
+
+TEST_CASE("a relay whose store is silent counts as cut off within 1.5 s")
+{
+    Fixture test;
+    test.readAtBig(5);
+    test.bigStore.answer({}, 5);
+    test.clock.advance(milliseconds(900));
+    test.readAtSmall(5);
+    test.clock.advance(milliseconds(610));
+    CHECK(test.smallStore.calls.size() == 1);
+}
+
+TEST_CASE("an unreachable relay is avoided, and the next strongest takes its place")
+{
+    Fixture test;
+    test.network.relays.clear();
+    test.readAtSmall(5);
+    CHECK(test.smallStore.calls.size() == 1);
+    CHECK(test.small->isRelay());
+    CHECK(test.events.count("relay-lost") == 1);
+}
+
+TEST_CASE("a relay that does not hold the wanted offset is not waited on")
+{
+    Fixture test;
+    test.readAtBig(50);
+    test.bigStore.answer({}, 50);
+    test.readAtSmall(5);
+    CHECK(test.smallStore.calls.size() == 1);
+    CHECK(!test.small->isRelay());
+}
+
+TEST_CASE("an instance that is not the relay refuses, as it may not be reading at all")
+{
+    Fixture test;
+    unsigned status = 0;
+    core::HttpRequest request;
+    request.target = "/records/topic/3?from=5&wait=100";
+    test.small->handle(request, [&status](core::Outcome<core::HttpResponse> response) {
+        status = response->status;
+    });
+    CHECK(status == 404);
+    request.target = "/records/topic?from=5";
+    test.small->handle(request, [&status](core::Outcome<core::HttpResponse> response) {
+        status = response->status;
+    });
+    CHECK(status == 400);
+}
+
+// At a start all instances read the store, and each of hundreds of registrations would wake all.
+TEST_CASE("direct reads of one partition follow each other no faster than the interval")
+{
+    Fixture test;
+    test.network.relays.clear();
+    test.readAtBig(0);
+    test.bigStore.answer({record("a", 0)}, 1);
+    test.readAtBig(1);
+    CHECK(test.bigStore.calls.empty());
+    test.clock.advance(milliseconds(100));
+    CHECK(test.bigStore.calls.size() == 1);
+}
+
+TEST_CASE("records survive their encoding; other bodies are refused")
+{
+    const bool whole = rc::check("encoded records are decoded as they were", [] {
+        std::vector<Record> records;
+        const auto keys = *rc::gen::arbitrary<std::vector<std::string>>();
+        std::uint64_t offset = 0;
+        for (const std::string &key : keys) {
+            Record next{key, std::nullopt, offset++};
+            if (*rc::gen::arbitrary<bool>())
+                next.value = *rc::gen::arbitrary<std::string>();
+            records.push_back(next);
+        }
+        const auto decoded = decodeRecords(encodeRecords(records));
+        RC_ASSERT(decoded);
+        RC_ASSERT(*decoded == records);
+    });
+    CHECK(whole);
+    const bool safe = rc::check("arbitrary bytes do no harm",
+                                [](const std::string &bytes) { decodeRecords(bytes); });
+    CHECK(safe);
+}
+
+TEST_CASE("a tail ignores a read that ended late and starts anew after a gap")
+{
+    RecordTail tail(2);
+    Batch batch;
+    batch.records = {record("a", 5), record("b", 6)};
+    batch.end = 7;
+    tail.add(5, batch);
+    Batch late;
+    late.records = {record("a", 5)};
+    late.end = 6;
+    tail.add(5, late);
+    REQUIRE(tail.since(5));
+    CHECK(tail.since(5)->end == 7);
+    CHECK(!tail.since(4));
+    CHECK(!tail.since(8));
+    Batch gap;
+    gap.records = {record("c", 20), record("d", 21), record("e", 22)};
+    gap.end = 23;
+    tail.add(20, gap);
+    CHECK(!tail.since(20)); // Only the newest two are kept.
+    REQUIRE(tail.since(21));
+    CHECK(tail.since(21)->records.size() == 2);
+}
