Hand out request slots between instances; spread keys over all servers of a large service

Cause: 58 to 90 senders each know only their own requests.

Change: SlotPool (decisions) and libs/slots (datagrams) hand out the slots of a keyed server, or of a service's servers in a data centre, from one strong instance; requests still go straight to the server. Without an answer an instance decides alone. Ranges and moves scale with the servers, and a rebalance no longer waits for all moves.

--- a/libs/balance/include/amaranthdale/balance/server_load.h
+++ b/libs/balance/include/amaranthdale/balance/server_load.h
@@ -71,6 +71,9 @@
 
     unsigned inFlight() const { return this->sent; }
 
+    /// Requests at the server, those of other senders as last reported.
+    double atServer(core::TimePoint now) const { return this->sent + this->othersLoad(now); }
+
 private:
     double othersLoad(core::TimePoint now) const;
     double queueFactor(core::TimePoint now) const;
--- a/libs/balance/include/amaranthdale/balance/service_balancer.h
+++ b/libs/balance/include/amaranthdale/balance/service_balancer.h
@@ -75,6 +75,13 @@
     /// Chooses, and on SendTo counts the request as sent.
     Choice choose(const Demand &demand, core::TimePoint now);
 
+    /// The server that `choose` would prefer, without counting a request; nothing when it would
+    /// wait or refuse.
+    std::optional<core::ServerName> pick(const Demand &demand, core::TimePoint now);
+
+    /// Counts a request that was sent by another decision than `choose`.
+    void onSent(const core::ServerName &server);
+
     void onEnd(const core::ServerName &server, const std::string &route, AttemptResult result,
                core::TimePoint sentAt, core::TimePoint now);
     void onReport(const core::ServerName &server, const LoadReport &report, core::TimePoint now);
--- a/libs/balance/src/service_balancer.cpp
+++ b/libs/balance/src/service_balancer.cpp
@@ -29,10 +29,10 @@
 
 // Few instances send to a cold server about once a second or more often each, so that arrivals in
 // one second exceed its rate by less than their number. Many send rarely and at random times: with
-// this part of the rate, one and a half times the rate and some more is exceeded in less than one
-// second of a million.
+// this part of the rate, and half of it sent with slots of a pool, one and a half times the rate is
+// exceeded in less than one second of a million.
 constexpr double evenSenders = 0.65; // Instances for each request/s.
-constexpr double sparseWarmupRate = 0.6;
+constexpr double sparseWarmupRate = 0.3;
 
 // Retry-After of refusals for lack of capacity; queues of this size clear within it.
 constexpr double usedConnections = 0.7;
@@ -206,6 +206,19 @@
     return SendTo{option.load->server()};
 }
 
+std::optional<core::ServerName> ServiceBalancer::pick(const Demand &demand, core::TimePoint now)
+{
+    const auto option = this->best(demand, now, true);
+    return option ? std::optional(option->load->server().name) : std::nullopt;
+}
+
+void ServiceBalancer::onSent(const core::ServerName &server)
+{
+    const auto found = this->servers.find(server);
+    if (found != this->servers.end())
+        found->second.onSent();
+}
+
 void ServiceBalancer::onEnd(const core::ServerName &server, const std::string &route,
                             AttemptResult result, core::TimePoint sentAt, core::TimePoint now)
 {
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "amaranthdale/catalog/catalogue.h"
 #include "amaranthdale/catalog/directory.h"
 #include "amaranthdale/clock/clock.h"
+#include "amaranthdale/gateway/slot_advisor.h"
 #include "amaranthdale/gateway/statistics.h"
 #include "amaranthdale/gateway/wire_format.h"
 #include "amaranthdale/keyspace/assignment.h"
@@ -79,6 +80,18 @@
 
     Statistics &statistics() { return this->stats; }
 
+    /// Asks `slotAdvisor`, which outlives all requests, before a request is sent. Set before
+    /// requests arrive.
+    void setAdvisor(SlotAdvisor &slotAdvisor) { this->advisor = &slotAdvisor; }
+
+    /// Rises with each change of the usable servers and the configuration.
+    std::uint64_t directoryVersion() const { return this->changes; }
+
+    /// Servers of a service that may get new work.
+    catalog::BackendServers usableServers(const core::ServiceName &service) const;
+
+    std::optional<catalog::Service> serviceOf(const core::ServiceName &service) const;
+
     /// Refuses every further request, as this instance ends before most could be answered.
     void stopAccepting() { this->stopping = true; }
 
@@ -96,6 +109,8 @@
 
     using Waiter = std::function<void()>;
 
+    std::optional<catalog::BackendServer> usableServer(const core::ServiceName &service,
+                                                       const core::ServerName &name) const;
     std::optional<core::ServerName> ownerOf(const core::ServiceName &service,
                                             keyspace::Key key) const;
     void countKey(const core::ServiceName &service, keyspace::Key key);
@@ -123,6 +138,8 @@
     std::atomic<unsigned> instanceCount{balance::BalancerShare().instances};
     std::atomic<std::size_t> inProgress{0};
     std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> changes{1};
+    SlotAdvisor *advisor = nullptr;
     Statistics stats;
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -78,9 +78,36 @@
             }
         });
     });
+    ++this->changes;
     this->wakeWaiters();
 }
 
+catalog::BackendServers Gateway::usableServers(const core::ServiceName &service) const
+{
+    return this->directory.with(
+            [&](const catalog::Directory &servers) { return servers.usable(service); });
+}
+
+std::optional<catalog::BackendServer> Gateway::usableServer(const core::ServiceName &service,
+                                                            const core::ServerName &name) const
+{
+    return this->directory.with(
+            [&](const catalog::Directory &servers) -> std::optional<catalog::BackendServer> {
+                const catalog::BackendServer *server = servers.find(name);
+                if (server == nullptr || server->service != service
+                    || !servers.isUsable(name, server->incarnation))
+                    return std::nullopt;
+                return *server;
+            });
+}
+
+std::optional<catalog::Service> Gateway::serviceOf(const core::ServiceName &service) const
+{
+    const auto table = this->routes();
+    const catalog::Service *found = table ? table->service(service) : nullptr;
+    return found == nullptr ? std::nullopt : std::optional(*found);
+}
+
 void Gateway::setInstances(unsigned instances)
 {
     if (this->instanceCount.exchange(instances) != instances)
@@ -128,8 +155,7 @@
 std::vector<keyspace::Candidate> Gateway::candidates(const core::ServiceName &service) const
 {
     const core::TimePoint now = this->clock.now();
-    const catalog::BackendServers usable = this->directory.with(
-            [&](const catalog::Directory &servers) { return servers.usable(service); });
+    const catalog::BackendServers usable = this->usableServers(service);
     std::vector<keyspace::Candidate> found;
     this->balancers.with([&](auto &all) {
         const balance::ServiceBalancer &balancer = this->balancerOf(all, service);
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -27,6 +27,9 @@
 // A full server may reset connections; it has room again about this much later.
 constexpr auto ownerRepeatDelay = std::chrono::milliseconds(30);
 
+// Servers that are asked for a slot before a request without a key is decided on alone.
+constexpr unsigned mostPicks = 2;
+
 constexpr auto unconfiguredRetry = std::chrono::milliseconds(500);
 constexpr auto stoppingRetry = std::chrono::milliseconds(50); // Another instance takes it at once.
 constexpr auto ownerRetry = std::chrono::milliseconds(300);
@@ -130,6 +133,7 @@
     this->gateway.balancers.with(
             [this](auto &all) { this->gateway.balancerOf(all, this->service).onRequest(); });
     const catalog::Service *configured = this->table->service(this->service);
+    this->keyedService = configured != nullptr && configured->keyed;
     if (configured != nullptr && !configured->keyed)
         this->request.key.reset();
     if (this->request.key)
@@ -161,6 +165,104 @@
             return this->wait(std::min(this->ownerWaitEnd, now + 4 * grantDelay));
         }
     }
+    if (this->gateway.advisor == nullptr)
+        return this->decideAlone();
+    if (!this->keyedService)
+        return this->askAdvisor(std::nullopt);
+    if (const auto server = this->demand.owner ? this->demand.owner : this->pickServer())
+        return this->askAdvisor(server);
+    this->decideAlone();
+}
+
+// The server of a request without a key, where the servers' slots are handed out one by one.
+std::optional<core::ServerName> RequestRun::pickServer()
+{
+    if (++this->picks > mostPicks)
+        return std::nullopt;
+    return this->gateway.balancers.with([&](auto &all) {
+        return this->gateway.balancerOf(all, this->service)
+                .pick(this->demand, this->gateway.clock.now());
+    });
+}
+
+void RequestRun::askAdvisor(const std::optional<core::ServerName> &target)
+{
+    const unsigned asking = ++this->number;
+    const balance::Ticket ticket = this->gateway.advisor->request(
+            this->service, this->demand, target,
+            [self = this->shared_from_this(), asking, target](balance::Ticket answered,
+                                                              auto advice) {
+                self->onAdvice(asking, answered, target, std::move(advice));
+            });
+    bool late = false;
+    {
+        std::lock_guard lock(this->mutex);
+        late = this->over;
+        // Another thread may have the answer already and be further on.
+        if (!late && this->number == asking)
+            this->slot = ticket;
+    }
+    if (late)
+        this->gateway.advisor->release(ticket, balance::AttemptResult::Cancelled, {}, {});
+}
+
+void RequestRun::onAdvice(unsigned asking, balance::Ticket ticket,
+                          const std::optional<core::ServerName> &target,
+                          std::optional<balance::SlotDecision> advice)
+{
+    bool wanted = false;
+    {
+        std::lock_guard lock(this->mutex);
+        wanted = !this->over && this->number == asking;
+        if (wanted)
+            this->slot = ticket;
+    }
+    if (!wanted)
+        return this->gateway.advisor->release(ticket, balance::AttemptResult::Cancelled, {}, {});
+    if (!advice) {
+        this->returnSlot(balance::AttemptResult::Cancelled, {});
+        return this->decideAlone();
+    }
+    if (const auto *server = std::get_if<core::ServerName>(&*advice))
+        return this->takeSlot(*server);
+    this->returnSlot(balance::AttemptResult::Cancelled, {});
+    const auto &refusal = std::get<balance::Refuse>(*advice);
+    // A request without a key may find room at another server.
+    if (target && !this->demand.owner && this->picks < mostPicks) {
+        this->demand.tried.push_back(*target);
+        return this->attempt();
+    }
+    this->refuse(refusal.retryAfter, refusal.reason);
+}
+
+// Sends to a server that has a slot for the request, if it may be used by what this instance knows.
+void RequestRun::takeSlot(const core::ServerName &name)
+{
+    const auto usable = this->gateway.usableServer(this->service, name);
+    if (!usable) {
+        this->returnSlot(balance::AttemptResult::Cancelled, {});
+        this->demand.tried.push_back(name);
+        return this->decideAlone();
+    }
+    this->gateway.balancers.with(
+            [&](auto &all) { this->gateway.balancerOf(all, this->service).onSent(name); });
+    this->send(*usable);
+}
+
+void RequestRun::returnSlot(balance::AttemptResult result, core::Duration elapsed)
+{
+    std::optional<balance::Ticket> held;
+    {
+        std::lock_guard lock(this->mutex);
+        held = std::exchange(this->slot, std::nullopt);
+    }
+    if (held)
+        this->gateway.advisor->release(*held, result, elapsed, this->report);
+}
+
+void RequestRun::decideAlone()
+{
+    const core::TimePoint now = this->gateway.clock.now();
     const balance::Choice choice = this->gateway.balancers.with([&](auto &all) {
         return this->gateway.balancerOf(all, this->service).choose(this->demand, now);
     });
@@ -197,6 +299,7 @@
 {
     this->server = target.name;
     this->sentAt = this->gateway.clock.now();
+    this->report.reset();
     const core::Duration time = this->left();
     core::HttpRequest message = this->gateway.wire.forServer(this->request, target.name, time);
     // Repeats are decided here, where the budget that all instances share is known.
@@ -223,6 +326,7 @@
     if (!outcome)
         return this->onTransportError(outcome.error());
     const ServerResponse said = this->gateway.wire.readResponse(*outcome);
+    this->report = said.load;
     if (said.load) {
         this->gateway.balancers.with([&](auto &all) {
             this->gateway.balancerOf(all, this->service)
@@ -338,6 +442,10 @@
     const bool ownerFull = this->request.key && !this->ownerRefused;
     if (!ownerFull && this->mayRepeat(false))
         return this->attempt();
+    // A server that sheds although it has a free slot does so by chance.
+    const bool slotWasFree = ownerFull && this->gateway.advisor != nullptr;
+    if (slotWasFree && this->left() > this->route->targetLatency / 2 && this->mayRepeat(false))
+        return this->repeatLater();
     this->refuse(ownerRetry, reason);
 }
 
@@ -345,11 +453,12 @@
 {
     if (this->server.empty())
         return;
+    const core::TimePoint now = this->gateway.clock.now();
     this->gateway.balancers.with([&](auto &all) {
         this->gateway.balancerOf(all, this->service)
-                .onEnd(this->server, this->demand.route, result, this->sentAt,
-                       this->gateway.clock.now());
+                .onEnd(this->server, this->demand.route, result, this->sentAt, now);
     });
+    this->returnSlot(result, now - this->sentAt);
     this->lastServer = std::exchange(this->server, core::ServerName());
 }
 
@@ -423,6 +532,7 @@
         this->over = true;
         pending = std::move(this->exchange);
     }
+    this->returnSlot(balance::AttemptResult::Cancelled, {});
     --this->gateway.inProgress;
     this->gateway.stats.count("requests_total", "outcome=\"cancelled\"");
     if (pending)
--- a/libs/gateway/src/request_run.h
+++ b/libs/gateway/src/request_run.h
@@ -24,6 +24,14 @@
 private:
     void start(core::HttpRequest message);
     void attempt();
+    void decideAlone();
+    void askAdvisor(const std::optional<core::ServerName> &server);
+    void onAdvice(unsigned number, balance::Ticket ticket,
+                  const std::optional<core::ServerName> &server,
+                  std::optional<balance::SlotDecision> advice);
+    void takeSlot(const core::ServerName &server);
+    std::optional<core::ServerName> pickServer();
+    void returnSlot(balance::AttemptResult result, core::Duration elapsed);
     void send(const catalog::BackendServer &server);
     void wait(core::TimePoint until);
     void onResponse(unsigned number, core::Outcome<core::HttpResponse> outcome);
@@ -56,11 +64,15 @@
     unsigned sends = 0;              ///< Attempts that may have reached a server.
     std::atomic<unsigned> number{0}; ///< Of the attempt in progress; tells late callbacks.
     core::TimePoint ownerWaitEnd{};
-    bool ownerRefused = false; ///< The owner said that it doesn't hold the key.
+    bool keyedService = false; ///< Each server holds keys of its own.
+    unsigned picks = 0;        ///< Servers chosen for a request without a key to a keyed service.
+    std::optional<balance::LoadReport> report; ///< Of the attempt in progress.
+    bool ownerRefused = false;                 ///< The owner said that it doesn't hold the key.
 
     std::mutex mutex;
     bool over = false;
     std::shared_ptr<core::Exchange> exchange; ///< Guarded by mutex.
+    std::optional<balance::Ticket> slot;      ///< Asked for or held; guarded by mutex.
 };
 
 } // namespace amaranthdale::gateway
--- a/libs/keyspace/include/amaranthdale/keyspace/placement.h
+++ b/libs/keyspace/include/amaranthdale/keyspace/placement.h
@@ -25,14 +25,21 @@
     bool operator==(const Move &) const = default;
 };
 
-/// Bounds of a rebalance.
+/// Bounds of a rebalance. Each bound in ranges is the larger of a number and a multiple of the
+/// servers.
 struct PlacementLimits
 {
     unsigned initialRanges = 64; ///< Stripes of the first assignment; busy keys lie close together.
+    double initialPerServer = 1; ///< Servers without a range would get no requests.
     unsigned mostRanges = 160;   ///< Each range costs the granter one renewal each second.
-    unsigned mostMoves = 8;      ///< A range is unavailable for some 100 ms while it moves.
-    double tolerance = 1.3;      ///< Load of a server relative to the mean at which ranges move.
-    double leastRequests = 60;   ///< Fewer recent requests are noise.
+    double mostPerServer = 2.5;
+    unsigned mostMoves = 8; ///< A range is unavailable for some 100 ms while it moves.
+    double movesPerServer = 0.25;
+    double tolerance = 1.3;    ///< Load of a server relative to the mean at which ranges move.
+    double leastRequests = 60; ///< Fewer recent requests are noise.
+
+    /// The same bounds for a service of so many servers.
+    PlacementLimits scaledTo(std::size_t servers) const;
 };
 
 /// A first assignment: equal ranges, dealt in turn, more to servers of higher capacity.
--- a/libs/keyspace/src/granter.cpp
+++ b/libs/keyspace/src/granter.cpp
@@ -251,13 +251,17 @@
 void Granter::rebalance(core::TimePoint now, const KeyLoad &load)
 {
     this->nextRebalance = now + this->limits.rebalance;
-    // Ranges that wait for the hold of a lost owner don't keep others from moving.
-    const bool moving = std::any_of(this->ranges.begin(), this->ranges.end(),
-                                    [](const Range &range) { return range.target.has_value(); });
-    if (moving || this->pending || this->stale)
+    if (this->pending || this->stale)
         return;
+    // Ranges that are moving count as the load of their next owner: waiting for all of them, some
+    // of which end only with the work that runs on their keys, let hot ranges stay for seconds.
+    std::vector<Holding> planned = this->holdings();
+    for (std::size_t index = 0; index < planned.size(); ++index) {
+        if (this->ranges[index].target)
+            planned[index].owner = *this->ranges[index].target;
+    }
     for (const Move &move :
-         planMoves(this->holdings(), this->answeringCandidates(now), load, this->limits.placement))
+         planMoves(planned, this->answeringCandidates(now), load, this->limits.placement))
         this->startMove(move);
 }
 
--- a/libs/keyspace/src/placement.cpp
+++ b/libs/keyspace/src/placement.cpp
@@ -149,9 +149,22 @@
 
 } // namespace
 
+PlacementLimits PlacementLimits::scaledTo(std::size_t servers) const
+{
+    const auto larger = [servers](unsigned number, double perServer) {
+        return std::max(number, static_cast<unsigned>(perServer * static_cast<double>(servers)));
+    };
+    PlacementLimits scaled = *this;
+    scaled.initialRanges = larger(this->initialRanges, this->initialPerServer);
+    scaled.mostRanges = larger(this->mostRanges, this->mostPerServer);
+    scaled.mostMoves = larger(this->mostMoves, this->movesPerServer);
+    return scaled;
+}
+
 std::vector<Holding> placeInitially(const std::vector<Candidate> &candidates,
-                                    const PlacementLimits &limits)
+                                    const PlacementLimits &base)
 {
+    const PlacementLimits limits = base.scaledTo(candidates.size());
     std::vector<Holding> holdings;
     const KeyLoad none;
     const Key size = keyCount / limits.initialRanges;
@@ -182,8 +195,9 @@
 
 std::vector<Move> planMoves(const std::vector<Holding> &holdings,
                             const std::vector<Candidate> &candidates, const KeyLoad &load,
-                            const PlacementLimits &limits)
+                            const PlacementLimits &base)
 {
+    const PlacementLimits limits = base.scaledTo(candidates.size());
     std::vector<Move> moves;
     LoadModel model(holdings, candidates, load);
     std::vector<Holding> rest = holdings;
--- a/libs/keyspace/tests/placement_test.cpp
+++ b/libs/keyspace/tests/placement_test.cpp
@@ -60,6 +60,35 @@
 
 } // namespace
 
+// With 64 ranges for 188 servers most servers had none, and 8 moves a round reached the last of
+// them after the end of the day.
+TEST_CASE("every server of a large service gets a range at once")
+{
+    const auto all = candidates(188);
+    const auto holdings = placeInitially(all, PlacementLimits{});
+    std::map<ServerRun, int> ranges;
+    for (const Holding &holding : holdings)
+        ++ranges[holding.owner];
+    CHECK(ranges.size() == 188);
+}
+
+// 60 neighbouring keys that get a third of the requests need some thirty servers.
+TEST_CASE("hot keys that lie close together are spread over a large service within two rounds")
+{
+    constexpr int servers = 188;
+    const auto all = candidates(servers);
+    auto holdings = placeInitially(all, PlacementLimits{});
+    KeyLoad load;
+    for (Key key = 0; key < keyCount; key += 16)
+        load.add(key, 0.2F);
+    for (Key key = 30000; key < 30060; ++key)
+        load.add(key, 7);
+    REQUIRE(imbalance(holdings, load, servers) > 40);
+    for (int round = 0; round < 2; ++round)
+        applyMoves(holdings, planMoves(holdings, all, load, PlacementLimits{}));
+    CHECK(imbalance(holdings, load, servers) < 4);
+}
+
 TEST_CASE("the first assignment covers every key and gives every server its part")
 {
     const Assignment assignment{{}, "", true, placeInitially(candidates(13), PlacementLimits())};
--- a/libs/membership/include/amaranthdale/membership/members.h
+++ b/libs/membership/include/amaranthdale/membership/members.h
@@ -23,11 +23,19 @@
     bool operator==(const Member &) const = default;
 };
 
+/// What an instance does for others. One that fails at one duty may still serve in another.
+enum class Duty {
+    Relay, ///< Reads the store for its data centre.
+    Slots, ///< Hands out request slots.
+};
+
 /// How long what was observed of other instances counts.
 struct MembersLimits
 {
-    /// An instance that left a message unanswered gets no task for this long.
-    core::Duration suspicion = std::chrono::seconds(3);
+    /// An instance that left a message unanswered gets no task for this long, doubled each time it
+    /// does so again. Most unanswered messages are lost datagrams or short pauses.
+    core::Duration suspicion = std::chrono::seconds(1);
+    core::Duration mostSuspicion = std::chrono::seconds(16);
     /// The number of instances falls only after this: one that is out of touch with the store is
     /// missing from the list, but goes on sending requests.
     core::Duration countMemory = std::chrono::seconds(30);
@@ -48,18 +56,21 @@
     /// Replaces the list. This instance stays in it, whatever the list says.
     void update(std::vector<Member> listed, core::TimePoint now);
 
-    /// Notes that `name` left a message unanswered.
-    void suspect(const core::InstanceName &name, core::TimePoint now);
-
-    /// Ends a suspicion.
-    void trust(const core::InstanceName &name);
+    /// Notes that `name` failed at a duty.
+    void suspect(Duty duty, const core::InstanceName &name, core::TimePoint now);
 
     /// The strongest member of this instance's data centre that is not suspected; ties go by name.
     Member strongestNearby(core::TimePoint now) const;
 
-    /// The member that does `task`, by rendezvous hashing weighted with cores, so that few tasks
-    /// change hands with the list.
-    Member assignee(std::string_view task, core::TimePoint now) const;
+    /// The member that hands out the slots of `task`: one of the strongest, of `dataCentre` where
+    /// it is given, by rendezvous hashing weighted with cores, so that few tasks change hands with
+    /// the list. Nothing when there is none.
+    std::optional<Member> assignee(std::string_view task,
+                                   const std::optional<core::DataCentreName> &dataCentre,
+                                   core::TimePoint now) const;
+
+    /// Data centres that have members, in order of name.
+    std::vector<core::DataCentreName> dataCentres() const;
 
     /// Largest number of instances listed within `countMemory`.
     unsigned count(core::TimePoint now) const;
@@ -70,10 +81,22 @@
     std::vector<Member> list() const;
 
 private:
+    struct Suspicion
+    {
+        core::TimePoint until{};
+        core::Duration length{};
+    };
+
+    using Suspicions = std::map<std::pair<Duty, core::InstanceName>, Suspicion>;
+
+    // True when `member` is another instance that failed at `duty` lately.
+    bool isSuspected(const Suspicions &suspicions, Duty duty, const Member &member,
+                     core::TimePoint now) const;
+
     struct State
     {
         std::vector<Member> members; ///< Invariant: sorted by name; contains `own`.
-        std::map<core::InstanceName, core::TimePoint> suspectedUntil;
+        Suspicions suspicions;
         unsigned peakCount = 0; ///< 0: no list was read yet.
         core::TimePoint peakAt{};
     };
--- a/libs/membership/src/members.cpp
+++ b/libs/membership/src/members.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace amaranthdale::membership {
 
@@ -13,6 +14,9 @@
 constexpr std::uint64_t taskSeed = 17;
 constexpr double leastCores = 0.01;
 
+// Members with this part of the cores of the strongest one count as strong.
+constexpr double strongShare = 0.5;
+
 // Weighted rendezvous hashing: the chance to score highest is proportional to the cores.
 double score(const Member &member, std::string_view task)
 {
@@ -22,15 +26,17 @@
     return weight / -std::log(std::min(unit, 1 - 1e-12));
 }
 
-bool isSuspected(const std::map<core::InstanceName, core::TimePoint> &suspectedUntil,
-                 const Member &member, core::TimePoint now)
+} // namespace
+
+bool Members::isSuspected(const Suspicions &suspicions, Duty duty, const Member &member,
+                          core::TimePoint now) const
 {
-    const auto found = suspectedUntil.find(member.name);
-    return found != suspectedUntil.end() && now < found->second;
+    if (member.name == this->own.name)
+        return false;
+    const auto found = suspicions.find({duty, member.name});
+    return found != suspicions.end() && now < found->second.until;
 }
 
-} // namespace
-
 Members::Members(Member ownMember, MembersLimits membersLimits)
     : own(std::move(ownMember)), limits(membersLimits), state(tables::LockRank::Membership)
 {
@@ -46,8 +52,9 @@
     const auto count = static_cast<unsigned>(listed.size());
     this->state.with([&](State &current) {
         current.members = std::move(listed);
-        std::erase_if(current.suspectedUntil,
-                      [now](const auto &entry) { return entry.second <= now; });
+        std::erase_if(current.suspicions, [now](const auto &entry) {
+            return entry.second.until + entry.second.length <= now;
+        });
         const bool outdated = now - current.peakAt > this->limits.countMemory;
         if (count < current.peakCount && !outdated)
             return;
@@ -56,15 +63,18 @@
     });
 }
 
-void Members::suspect(const core::InstanceName &name, core::TimePoint now)
+void Members::suspect(Duty duty, const core::InstanceName &name, core::TimePoint now)
 {
-    this->state.with(
-            [&](State &current) { current.suspectedUntil[name] = now + this->limits.suspicion; });
-}
-
-void Members::trust(const core::InstanceName &name)
-{
-    this->state.with([&name](State &current) { current.suspectedUntil.erase(name); });
+    this->state.with([&](State &current) {
+        Suspicion &suspicion = current.suspicions[{duty, name}];
+        if (now < suspicion.until)
+            return; // Messages that were under way when the suspicion began.
+        const bool again = suspicion.length > core::Duration::zero()
+                && now < suspicion.until + suspicion.length;
+        suspicion.length = again ? std::min(2 * suspicion.length, this->limits.mostSuspicion)
+                                 : this->limits.suspicion;
+        suspicion.until = now + suspicion.length;
+    });
 }
 
 Member Members::strongestNearby(core::TimePoint now) const
@@ -73,8 +83,7 @@
         const Member *strongest = &this->own;
         for (const Member &member : current.members) {
             if (member.dataCentre != this->own.dataCentre
-                || (member.name != this->own.name
-                    && isSuspected(current.suspectedUntil, member, now)))
+                || this->isSuspected(current.suspicions, Duty::Relay, member, now))
                 continue;
             const bool better = member.cores > strongest->cores
                     || (member.cores == strongest->cores && member.name < strongest->name);
@@ -85,21 +94,42 @@
     });
 }
 
-Member Members::assignee(std::string_view task, core::TimePoint now) const
+std::optional<Member> Members::assignee(std::string_view task,
+                                        const std::optional<core::DataCentreName> &dataCentre,
+                                        core::TimePoint now) const
 {
-    return this->state.with([&](const State &current) {
-        const Member *best = &this->own;
-        double most = score(this->own, task);
+    return this->state.with([&](const State &current) -> std::optional<Member> {
+        std::vector<const Member *> able;
+        double mostCores = 0;
         for (const Member &member : current.members) {
-            if (member.name == this->own.name || isSuspected(current.suspectedUntil, member, now))
+            if ((dataCentre && member.dataCentre != *dataCentre)
+                || this->isSuspected(current.suspicions, Duty::Slots, member, now))
+                continue;
+            able.push_back(&member);
+            mostCores = std::max(mostCores, member.cores);
+        }
+        const Member *best = nullptr;
+        double highest = 0;
+        for (const Member *member : able) {
+            if (member->cores < strongShare * mostCores)
                 continue;
-            const double candidate = score(member, task);
-            if (candidate > most) {
-                best = &member;
-                most = candidate;
+            const double candidate = score(*member, task);
+            if (best == nullptr || candidate > highest) {
+                best = member;
+                highest = candidate;
             }
         }
-        return *best;
+        return best == nullptr ? std::nullopt : std::optional(*best);
+    });
+}
+
+std::vector<core::DataCentreName> Members::dataCentres() const
+{
+    return this->state.with([](const State &current) {
+        std::set<core::DataCentreName> names;
+        for (const Member &member : current.members)
+            names.insert(member.dataCentre);
+        return std::vector(names.begin(), names.end());
     });
 }
 
--- a/libs/relay/src/relay.cpp
+++ b/libs/relay/src/relay.cpp
@@ -239,7 +239,7 @@
 
     void loseRelay(const membership::Member &relay, const std::string &reason)
     {
-        this->members.suspect(relay.name, this->clock.now());
+        this->members.suspect(membership::Duty::Relay, relay.name, this->clock.now());
         this->events.write(log::Severity::Warning, "relay-lost",
                            {{"relay", relay.name.value}, {"reason", reason}});
     }
--- /dev/null
+++ b/libs/slots/tests/coordinator_test.cpp
@@ -0,0 +1,308 @@
+// Slots across instances: asked for by datagram, decided alone where no answer comes.
+#include "amaranthdale/clock/manual_clock.h"
+#include "amaranthdale/log/capturing_log.h"
+#include "amaranthdale/slots/slot_coordinator.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace amaranthdale;
+using namespace amaranthdale::slots;
+using balance::Ticket;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const core::DataCentreName east("east");
+const core::DataCentreName west("west");
+
+// Requests are not sent in these tests.
+class NoSender : public core::HttpSender
+{
+public:
+    std::shared_ptr<core::Exchange> send(const core::Endpoint &, core::HttpRequest, core::Duration,
+                                         core::ResponseHandler) override
+    {
+        return nullptr;
+    }
+};
+
+class NoFormat : public gateway::WireFormat
+{
+public:
+    core::Outcome<gateway::CallerRequest> readRequest(core::HttpRequest) const override
+    {
+        return gateway::CallerRequest{};
+    }
+    core::HttpRequest forServer(const gateway::CallerRequest &, const core::ServerName &,
+                                core::Duration) const override
+    {
+        return {};
+    }
+    gateway::ServerResponse readResponse(const core::HttpResponse &) const override { return {}; }
+};
+
+// Delivers datagrams between the instances of a test, in order and at once.
+class Network
+{
+public:
+    class Channel : public DatagramChannel
+    {
+    public:
+        Channel(Network &ownNetwork, core::Endpoint ownAddress)
+            : network(ownNetwork), address(std::move(ownAddress))
+        { }
+
+        void start(Receiver messageReceiver) override
+        {
+            this->receiver = std::move(messageReceiver);
+        }
+
+        void send(const core::Endpoint &to, const std::string &message) override
+        {
+            ++this->network.sent;
+            if (this->network.lossy)
+                return;
+            const auto found = this->network.channels.find(to);
+            if (found != this->network.channels.end())
+                found->second->receiver(this->address, message);
+        }
+
+        Network &network;
+        const core::Endpoint address;
+        Receiver receiver;
+    };
+
+    std::map<core::Endpoint, Channel *> channels;
+    bool lossy = false;
+    int sent = 0;
+};
+
+struct Node
+{
+    Node(clock::ManualClock &clock, Network &network, const membership::Member &member)
+        : gateway(clock, this->sender, this->format, this->events, {}), members(member),
+          channel(network, member.peer),
+          coordinator(makeSlotCoordinator(clock, this->events, this->gateway, this->members,
+                                          this->channel, core::Incarnation(member.peer.port)))
+    {
+        network.channels[member.peer] = &this->channel;
+        this->coordinator->start();
+        catalog::Catalogue catalogue;
+        catalogue.version = 1;
+        for (const bool keyed : {false, true}) {
+            catalog::Service service;
+            service.name = core::ServiceName(keyed ? "keyed" : "plain");
+            service.keyed = keyed;
+            catalogue.services.push_back(service);
+        }
+        this->gateway.setCatalogue(catalogue);
+        this->gateway.changeDirectory([](catalog::Directory &servers) {
+            for (const char *name : {"a", "b", "k"}) {
+                catalog::BackendServer server;
+                server.name = core::ServerName(name);
+                server.service = core::ServiceName(*name == 'k' ? "keyed" : "plain");
+                server.dataCentre = *name == 'b' ? west : east;
+                servers.announce(server);
+            }
+        });
+    }
+
+    // Asks for a slot; the decision goes to `decisions`.
+    Ticket ask(clock::ManualClock &clock, const std::string &service, const char *server = nullptr)
+    {
+        balance::Demand demand;
+        demand.route = "r";
+        demand.targetLatency = milliseconds(300);
+        demand.arrived = clock.now();
+        demand.deadline = clock.now() + milliseconds(800);
+        const auto wanted =
+                server == nullptr ? std::nullopt : std::optional(core::ServerName(server));
+        const Ticket ticket = this->coordinator->request(
+                core::ServiceName(service), demand, wanted,
+                [this](Ticket answered, auto decision) { this->decisions[answered] = decision; });
+        clock.advance(milliseconds(0));
+        return ticket;
+    }
+
+    std::string serverOf(Ticket ticket) const
+    {
+        const auto found = this->decisions.find(ticket);
+        if (found == this->decisions.end() || !found->second)
+            return "";
+        const auto *server = std::get_if<core::ServerName>(&*found->second);
+        return server == nullptr ? "" : server->value;
+    }
+
+    bool isDecided(Ticket ticket) const { return this->decisions.contains(ticket); }
+
+    NoSender sender;
+    NoFormat format;
+    log::CapturingLog events;
+    gateway::Gateway gateway;
+    membership::Members members;
+    Network::Channel channel;
+    std::shared_ptr<SlotCoordinator> coordinator;
+    std::map<Ticket, std::optional<balance::SlotDecision>> decisions;
+};
+
+membership::Member member(const std::string &name, const core::DataCentreName &dataCentre,
+                          std::uint16_t port, double cores)
+{
+    return {core::InstanceName(name), dataCentre, {"127.0.0.1", port}, cores};
+}
+
+// A strong instance in each data centre, which hands out the slots, and a weak one that asks.
+struct Fixture
+{
+    Fixture()
+        : strong(this->clock, this->network, member("strong", east, 1, 2)),
+          far(this->clock, this->network, member("far", west, 2, 2)),
+          weak(this->clock, this->network, member("weak", east, 3, 0.5))
+    {
+        for (Node *node : {&this->strong, &this->far, &this->weak})
+            node->members.update({member("strong", east, 1, 2), member("far", west, 2, 2),
+                                  member("weak", east, 3, 0.5)},
+                                 this->clock.now());
+    }
+
+    clock::ManualClock clock;
+    Network network;
+    Node strong;
+    Node far;
+    Node weak;
+};
+
+} // namespace
+
+TEST_CASE("slots nearby are used first, then those of another data centre, then requests wait")
+{
+    Fixture test;
+    std::map<std::string, int> at;
+    for (int index = 0; index < 4; ++index)
+        ++at[test.weak.serverOf(test.weak.ask(test.clock, "plain"))];
+    CHECK(at["a"] == 2); // One slot each, and one request more.
+    CHECK(at["b"] == 2);
+    const Ticket waiting = test.weak.ask(test.clock, "plain");
+    CHECK(!test.weak.isDecided(waiting));
+}
+
+TEST_CASE("instances that ask the same one don't fill a server twice")
+{
+    Fixture test;
+    CHECK(test.weak.serverOf(test.weak.ask(test.clock, "keyed", "k")) == "k");
+    const Ticket second = test.strong.ask(test.clock, "keyed", "k");
+    CHECK(test.strong.serverOf(second) == "k");
+    const Ticket third = test.far.ask(test.clock, "keyed", "k");
+    CHECK(!test.far.isDecided(third));
+    test.strong.coordinator->release(second, balance::AttemptResult::Answered, milliseconds(50),
+                                     {});
+    test.clock.advance(milliseconds(1));
+    CHECK(test.far.serverOf(third) == "k");
+}
+
+TEST_CASE("without an answer a request is decided alone, in bounded time")
+{
+    Fixture test;
+    test.network.lossy = true;
+    const Ticket ticket = test.weak.ask(test.clock, "keyed", "k");
+    CHECK(!test.weak.isDecided(ticket));
+    test.clock.advance(milliseconds(130));
+    REQUIRE(test.weak.isDecided(ticket));
+    CHECK(!test.weak.decisions[ticket]);
+}
+
+TEST_CASE("an instance that leaves three requests unanswered is avoided")
+{
+    Fixture test;
+    const std::string task = "keyed/k";
+    const auto first = test.weak.members.assignee(task, {}, test.clock.now());
+    test.network.channels.erase(first->peer);
+    for (int index = 0; index < 3; ++index) {
+        test.weak.ask(test.clock, "keyed", "k");
+        test.clock.advance(milliseconds(130));
+    }
+    CHECK(test.weak.events.count("slot-requests-unanswered") == 1);
+    const Ticket next = test.weak.ask(test.clock, "keyed", "k");
+    CHECK(test.weak.serverOf(next) == "k");
+}
+
+// An instance that is cut off would otherwise delay each of its requests by the time-out.
+TEST_CASE("without any answer requests are decided alone at once, until one is tried again")
+{
+    Fixture test;
+    test.network.lossy = true;
+    for (int index = 0; index < 4; ++index) {
+        test.weak.ask(test.clock, "keyed", "k");
+        test.clock.advance(milliseconds(130));
+    }
+    const Ticket alone = test.weak.ask(test.clock, "keyed", "k");
+    REQUIRE(test.weak.isDecided(alone));
+    CHECK(!test.weak.decisions[alone]);
+    test.network.lossy = false;
+    test.clock.advance(milliseconds(1100));
+    const Ticket again = test.weak.ask(test.clock, "keyed", "k");
+    CHECK(!test.weak.serverOf(again).empty());
+}
+
+// Callers of an instance that stops waited for the time-out before others decided.
+TEST_CASE("an instance that stops sends askers elsewhere at once")
+{
+    Fixture test;
+    const auto first = test.weak.members.assignee("keyed/k", {}, test.clock.now());
+    (first->name.value == "strong" ? test.strong : test.far).coordinator->stop();
+    const Ticket ticket = test.weak.ask(test.clock, "keyed", "k");
+    CHECK(test.weak.isDecided(ticket));
+    CHECK(test.weak.serverOf(test.weak.ask(test.clock, "keyed", "k")) == "k");
+}
+
+TEST_CASE("a slot that is granted too late is given back")
+{
+    Fixture test;
+    test.network.lossy = true;
+    const Ticket ticket = test.weak.ask(test.clock, "keyed", "k");
+    test.clock.advance(milliseconds(130));
+    REQUIRE(test.weak.isDecided(ticket));
+    test.network.lossy = false;
+    // The late answer of either strong instance.
+    const int before = test.network.sent;
+    std::string granted;
+    granted.push_back(2);
+    for (int shift = 56; shift >= 0; shift -= 8)
+        granted.push_back(static_cast<char>(ticket >> shift & 0xff));
+    granted += std::string("\0\1k", 3);
+    test.weak.channel.receiver({"127.0.0.1", 1}, granted);
+    CHECK(test.network.sent == before + 1);
+}
+
+TEST_CASE("a request that is given up leaves the queue")
+{
+    Fixture test;
+    test.weak.ask(test.clock, "keyed", "k");
+    const Ticket second = test.weak.ask(test.clock, "keyed", "k");
+    const Ticket third = test.weak.ask(test.clock, "keyed", "k");
+    const Ticket fourth = test.weak.ask(test.clock, "keyed", "k");
+    test.weak.coordinator->release(third, balance::AttemptResult::Cancelled, {}, {});
+    test.weak.coordinator->release(second, balance::AttemptResult::Answered, milliseconds(50), {});
+    test.clock.advance(milliseconds(1));
+    CHECK(!test.weak.isDecided(third));
+    CHECK(test.weak.serverOf(fourth) == "k");
+}
+
+TEST_CASE("a service that no instance knows is decided alone")
+{
+    Fixture test;
+    const Ticket ticket = test.weak.ask(test.clock, "unheard");
+    REQUIRE(test.weak.isDecided(ticket));
+    CHECK(!test.weak.decisions[ticket]);
+}
+
+TEST_CASE("bytes that are no message do no harm and are counted")
+{
+    Fixture test;
+    test.weak.channel.receiver({"127.0.0.1", 9}, "nonsense");
+    CHECK(test.weak.gateway.statistics().render().find("slot_messages_malformed_total")
+          != std::string::npos);
+}
