--- a/libs/relay/include/amaranthdale/relay/relay.h
+++ b/libs/relay/include/amaranthdale/relay/relay.h
@@ -29,7 +29,7 @@
     /// Least time between the starts of two reads of one partition: where each change would wake
     /// all instances, as at a start, and at the relay.
     core::Duration directInterval = std::chrono::milliseconds(800);
-    core::Duration relayInterval = std::chrono::milliseconds(100);
+    core::Duration relayInterval = std::chrono::milliseconds(250);
     std::size_t keptRecords = 2000; ///< Of each partition, for instances that lag behind.
 };
 
