Part the giving of slots from the asking; share estimates and number parsing

Change: SlotGiver hands out slots, the coordinator asks for them; RouteTimes and detail::failureCost serve both ways of choosing a server; core::parseWhole reads whole numbers. No change of behaviour is meant; the unit tests of slots, balance, relay and the adapter pass.

--- a/libs/balance/include/amaranthdale/balance/service_balancer.h
+++ b/libs/balance/include/amaranthdale/balance/service_balancer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "amaranthdale/balance/retry_budget.h"
+#include "amaranthdale/balance/route_times.h"
 #include "amaranthdale/balance/server_load.h"
 #include "amaranthdale/catalog/catalogue.h"
 
@@ -113,7 +114,7 @@
     BalancerShare share;
     core::DataCentreName dataCentre;
     std::map<core::ServerName, ServerLoad> servers;
-    std::map<std::string, core::Duration> usualOfRoute;
+    RouteTimes times;
     boost::random::mt19937 random;
 };
 
--- a/libs/balance/include/amaranthdale/balance/slot_pool.h
+++ b/libs/balance/include/amaranthdale/balance/slot_pool.h
@@ -108,7 +108,7 @@
     std::map<Ticket, Permit> permits;
     std::vector<Waiting> queue; ///< Invariant: sorted by priority, then by arrival.
     core::TimePoint emptyAt{};  ///< When the queue was empty last.
-    std::map<std::string, core::Duration> usualOfRoute;
+    RouteTimes times;
     boost::random::mt19937 random;
 };
 
--- a/libs/balance/src/service_balancer.cpp
+++ b/libs/balance/src/service_balancer.cpp
@@ -1,6 +1,8 @@
 // Choice by expected time to a response.
 #include "amaranthdale/balance/service_balancer.h"
 
+#include "estimates.h"
+
 #include <boost/random/uniform_01.hpp>
 
 #include <algorithm>
@@ -9,16 +11,8 @@
 
 namespace {
 
-using Seconds = std::chrono::duration<double>;
-
-constexpr double usualWeight = 0.05; // Of one response in the usual time of a route.
-
-// A route without history is taken to need this part of its target latency.
-constexpr double initialShareOfTarget = 0.33;
-
-// Cost of a failure: an idempotent request is sent again, another is lost.
-constexpr double repeatCost = 1.5;
-constexpr double lossCost = 6;
+using detail::scale;
+using detail::Seconds;
 
 // Other data centres are about 1 ms away, but bytes between them are paid for.
 constexpr auto remoteCost = std::chrono::milliseconds(4);
@@ -44,11 +38,6 @@
 constexpr auto capacityRetry = std::chrono::milliseconds(150);
 constexpr auto absentRetry = std::chrono::milliseconds(400);
 
-core::Duration scale(core::Duration duration, double factor)
-{
-    return std::chrono::duration_cast<core::Duration>(duration * factor);
-}
-
 } // namespace
 
 ServiceBalancer::ServiceBalancer(RetryLimits retryLimits, core::DataCentreName ownDataCentre,
@@ -84,9 +73,7 @@
 
 core::Duration ServiceBalancer::usualTime(const Demand &demand) const
 {
-    const auto known = this->usualOfRoute.find(demand.route);
-    return known != this->usualOfRoute.end() ? known->second
-                                             : scale(demand.targetLatency, initialShareOfTarget);
+    return this->times.usual(demand.route, demand.targetLatency);
 }
 
 double ServiceBalancer::warmupRate() const
@@ -116,8 +103,7 @@
     Option option;
     option.load = &load;
     option.estimate = load.estimate(this->usualTime(demand), now);
-    const bool repeatable = catalog::isRepeatable(demand.kind);
-    const double failureCost = load.failureRate(now) * (repeatable ? repeatCost : lossCost);
+    const double failureCost = load.failureRate(now) * detail::failureCost(demand.kind);
     boost::random::uniform_01<double> uniform;
     option.cost = scale(option.estimate, 1 + jitter * uniform(this->random))
             + scale(demand.targetLatency, failureCost);
@@ -226,15 +212,10 @@
     if (found == this->servers.end())
         return;
     const core::Duration elapsed = now - sentAt;
-    const auto usual = this->usualOfRoute.find(route);
-    const bool measured = usual != this->usualOfRoute.end();
-    found->second.onEnd(result, elapsed, measured ? usual->second : core::Duration::zero(), now);
-    if (result != AttemptResult::Answered)
-        return;
-    if (measured)
-        usual->second += scale(elapsed - usual->second, usualWeight);
-    else
-        this->usualOfRoute.emplace(route, elapsed);
+    const core::Duration usual = this->times.measured(route).value_or(core::Duration::zero());
+    found->second.onEnd(result, elapsed, usual, now);
+    if (result == AttemptResult::Answered)
+        this->times.observe(route, elapsed);
 }
 
 void ServiceBalancer::onReport(const core::ServerName &server, const LoadReport &report,
--- a/libs/balance/src/slot_pool.cpp
+++ b/libs/balance/src/slot_pool.cpp
@@ -1,6 +1,8 @@
 // Decisions of a slot pool.
 #include "amaranthdale/balance/slot_pool.h"
 
+#include "estimates.h"
+
 #include <boost/random/uniform_01.hpp>
 
 #include <algorithm>
@@ -9,16 +11,8 @@
 
 namespace {
 
-using Seconds = std::chrono::duration<double>;
-
-constexpr double usualWeight = 0.05; // Of one response in the usual time of a route.
-
-// A route without history is taken to need this part of its target latency.
-constexpr double initialShareOfTarget = 0.33;
-
-// Cost of a failure in target latencies: an idempotent request is sent again, another is lost.
-constexpr double repeatCost = 1.5;
-constexpr double lossCost = 6;
+using detail::scale;
+using detail::Seconds;
 
 // Bytes between data centres are paid for, and the way is longer.
 constexpr auto remoteCost = std::chrono::milliseconds(6);
@@ -36,11 +30,6 @@
 constexpr auto leastRetry = std::chrono::milliseconds(50);
 constexpr auto absentRetry = std::chrono::milliseconds(400);
 
-core::Duration scale(core::Duration duration, double factor)
-{
-    return std::chrono::duration_cast<core::Duration>(duration * factor);
-}
-
 } // namespace
 
 SlotPool::SlotPool(std::uint64_t seed, SlotPoolLimits poolLimits)
@@ -95,20 +84,14 @@
     const std::string route = permit->second.route;
     const auto server = this->servers.find(permit->second.server);
     this->permits.erase(permit);
-    const auto usual = this->usualOfRoute.find(route);
-    const bool measured = usual != this->usualOfRoute.end();
+    const core::Duration usual = this->times.measured(route).value_or(core::Duration::zero());
     if (server != this->servers.end()) {
         if (report)
             server->second.onReport(*report, now);
-        server->second.onEnd(result, elapsed, measured ? usual->second : core::Duration::zero(),
-                             now);
+        server->second.onEnd(result, elapsed, usual, now);
     }
-    if (result != AttemptResult::Answered)
-        return;
-    if (measured)
-        usual->second += scale(elapsed - usual->second, usualWeight);
-    else
-        this->usualOfRoute.emplace(route, elapsed);
+    if (result == AttemptResult::Answered)
+        this->times.observe(route, elapsed);
 }
 
 std::vector<SlotVerdict> SlotPool::dispatch(core::TimePoint now)
@@ -180,13 +163,12 @@
 
 core::Duration SlotPool::cost(const ServerLoad &load, const Waiting &entry, core::TimePoint now)
 {
-    const bool repeatable = catalog::isRepeatable(entry.demand.kind);
     const bool download = entry.demand.kind == catalog::RequestKind::Download;
     boost::random::uniform_01<double> uniform;
     core::Duration total = scale(load.estimate(this->usualTime(entry.demand), now),
                                  1 + jitter * uniform(this->random));
     total += scale(entry.demand.targetLatency,
-                   load.failureRate(now) * (repeatable ? repeatCost : lossCost));
+                   load.failureRate(now) * detail::failureCost(entry.demand.kind));
     if (load.server().dataCentre != entry.from)
         total += download ? core::Duration(remoteDownloadCost) : core::Duration(remoteCost);
     return total;
@@ -269,9 +251,7 @@
 
 core::Duration SlotPool::usualTime(const Demand &demand) const
 {
-    const auto known = this->usualOfRoute.find(demand.route);
-    return known != this->usualOfRoute.end() ? known->second
-                                             : scale(demand.targetLatency, initialShareOfTarget);
+    return this->times.usual(demand.route, demand.targetLatency);
 }
 
 } // namespace amaranthdale::balance
--- /dev/null
+++ b/libs/core/include/amaranthdale/core/numbers.h
@@ -0,0 +1,22 @@
+// Whole numbers in text that other programs wrote.
+#pragma once
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace amaranthdale::core {
+
+/// Reads a text that is one whole number and nothing else.
+inline std::optional<std::uint64_t> parseWhole(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace amaranthdale::core
--- a/libs/relay/src/relay.cpp
+++ b/libs/relay/src/relay.cpp
@@ -4,8 +4,9 @@
 #include "record_codec.h"
 #include "record_tail.h"
 
+#include "amaranthdale/core/numbers.h"
+
 #include <atomic>
-#include <charconv>
 #include <map>
 #include <mutex>
 
@@ -20,16 +21,6 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number);
-    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return number;
-}
-
 // A read that another instance asks for.
 struct ReadRequest
 {
@@ -58,10 +49,10 @@
         || wait == std::string_view::npos || slash > from || from > wait)
         return std::nullopt;
     constexpr std::size_t parameterSize = 6; // Of "?from=" and "&wait=".
-    const auto part = parseNumber(target.substr(slash + 1, from - slash - 1));
+    const auto part = core::parseWhole(target.substr(slash + 1, from - slash - 1));
     const auto offset =
-            parseNumber(target.substr(from + parameterSize, wait - from - parameterSize));
-    const auto milliseconds = parseNumber(target.substr(wait + parameterSize));
+            core::parseWhole(target.substr(from + parameterSize, wait - from - parameterSize));
+    const auto milliseconds = core::parseWhole(target.substr(wait + parameterSize));
     if (!part || !offset || !milliseconds)
         return std::nullopt;
     ReadRequest request;
@@ -214,7 +205,7 @@
             return done(std::nullopt);
         }
         const auto endText = core::findHeader(outcome->headers, endField);
-        const auto end = endText ? parseNumber(*endText) : std::nullopt;
+        const auto end = endText ? core::parseWhole(*endText) : std::nullopt;
         if (outcome->status != statusOk || !end) {
             this->directUntil = this->clock.now() + this->limits.directTime;
             return done(std::nullopt);
--- a/libs/slots/src/slot_coordinator.cpp
+++ b/libs/slots/src/slot_coordinator.cpp
@@ -1,10 +1,10 @@
-// Both sides of the exchange of slots.
+// Asks other instances for slots, and passes their requests on to the pools of this one.
 #include "amaranthdale/slots/slot_coordinator.h"
 
+#include "slot_giver.h"
 #include "slot_messages.h"
 
 #include <algorithm>
-#include <atomic>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -16,36 +16,6 @@
 
 using balance::Ticket;
 
-// Releases follow the end of a request within this time, or are lost.
-constexpr auto lostMargin = std::chrono::seconds(2);
-constexpr Ticket purgeInterval = 256; // Requests between two searches for lost releases.
-
-// The servers whose slots are handed out together: those of a service in one data centre, or one
-// that owns keys.
-struct PoolKey
-{
-    core::ServiceName service;
-    std::optional<core::ServerName> server;
-    core::DataCentreName dataCentre; // Empty where a server is named.
-
-    auto operator<=>(const PoolKey &) const = default;
-
-    std::string task() const
-    {
-        return this->service.value + '/'
-                + (this->server ? this->server->value : this->dataCentre.value);
-    }
-};
-
-// Who asked for a slot. No endpoint: this instance itself.
-struct Asker
-{
-    std::optional<core::Endpoint> endpoint;
-    Ticket ticket = 0;
-
-    auto operator<=>(const Asker &) const = default;
-};
-
 class Coordinator : public SlotCoordinator, public std::enable_shared_from_this<Coordinator>
 {
 public:
@@ -59,6 +29,17 @@
 
     void start() override
     {
+        this->giver = std::make_shared<SlotGiver>(
+                this->clock, this->gateway, this->limits.tick,
+                SlotGiver::Reports{
+                        [weak = this->weak_from_this()](const Asker &asker, auto decision) {
+                            if (const auto self = weak.lock())
+                                self->tell(asker, std::move(decision));
+                        },
+                        [weak = this->weak_from_this()](const Asker &asker) {
+                            if (const auto self = weak.lock())
+                                self->tellQueued(asker);
+                        }});
         this->channel.start([weak = this->weak_from_this()](const core::Endpoint &from,
                                                             std::string_view bytes) {
             if (const auto self = weak.lock())
@@ -66,7 +47,7 @@
         });
     }
 
-    void stop() override { this->stopped = true; }
+    void stop() override { this->giver->stop(); }
 
     Ticket request(const core::ServiceName &service, const balance::Demand &demand,
                    const std::optional<core::ServerName> &server, Handler handler) override
@@ -112,7 +93,7 @@
         if (!ask->assignee)
             return; // No slot was asked for yet.
         if (this->isSelf(*ask->assignee))
-            return this->takeBack(Asker{std::nullopt, ticket}, message);
+            return this->giver->takeBack(Asker{std::nullopt, ticket}, message);
         this->channel.send(ask->assignee->peer, encodeSlotMessage({ticket, std::move(message)}));
     }
 
@@ -151,24 +132,6 @@
         unsigned step = 0;
     };
 
-    struct Pool
-    {
-        explicit Pool(std::uint64_t seed) : slots(seed) { }
-
-        balance::SlotPool slots;
-        std::uint64_t directoryVersion = 0; // Of the servers in `slots`; 0: none.
-        bool ticking = false;
-    };
-
-    struct Origin
-    {
-        Asker asker;
-        PoolKey pool;
-        core::TimePoint expiresAt{}; // Its release was lost if it is still here then.
-    };
-
-    using Verdicts = std::vector<std::pair<Asker, balance::SlotDecision>>;
-
     bool isSelf(const membership::Member &member) const
     {
         return member.name == this->members.self().name;
@@ -224,7 +187,7 @@
         if (!assignee)
             return this->defer([handler, ticket, last] { handler(ticket, last); });
         if (this->isSelf(*assignee))
-            return this->serve(Asker{std::nullopt, ticket}, message);
+            return this->giver->serve(Asker{std::nullopt, ticket}, message);
         this->channel.send(assignee->peer, encodeSlotMessage({ticket, std::move(message)}));
         this->watch(ticket, now + this->limits.answerTimeout);
     }
@@ -358,9 +321,9 @@
         }
         const Ticket ticket = message->ticket;
         if (const auto *request = std::get_if<SlotRequest>(&message->content))
-            return this->serve(Asker{from, ticket}, *request);
+            return this->giver->serve(Asker{from, ticket}, *request);
         if (const auto *release = std::get_if<SlotRelease>(&message->content))
-            return this->takeBack(Asker{from, ticket}, *release);
+            return this->giver->takeBack(Asker{from, ticket}, *release);
         this->noteAnswer(ticket);
         if (std::holds_alternative<SlotQueued>(message->content))
             return this->onQueued(ticket);
@@ -429,162 +392,7 @@
         this->assignees.clear();
     }
 
-    // The pool of `key` with the servers of the directory in force, or null when there are none.
-    // Called with the lock held.
-    Pool *poolOf(const PoolKey &key, core::TimePoint now)
-    {
-        const auto [entry, added] = this->pools.try_emplace(key, ++this->lastSeed);
-        Pool &pool = entry->second;
-        const std::uint64_t version = this->gateway.directoryVersion();
-        if (added || pool.directoryVersion != version) {
-            const auto service = this->gateway.serviceOf(key.service);
-            catalog::BackendServers servers;
-            if (service) {
-                pool.slots.setService(*service);
-                servers = this->gateway.usableServers(key.service);
-            }
-            std::erase_if(servers, [&key](const catalog::BackendServer &server) {
-                return key.server ? server.name != *key.server
-                                  : server.dataCentre != key.dataCentre;
-            });
-            pool.slots.setServers(servers, now);
-            pool.directoryVersion = version;
-            if (servers.empty()) {
-                this->pools.erase(entry);
-                return nullptr;
-            }
-        }
-        return &pool;
-    }
-
-    // Hands out a slot or lets the request wait.
-    void serve(const Asker &asker, const SlotRequest &request)
-    {
-        const core::TimePoint now = this->clock.now();
-        const PoolKey key{request.service, request.server, request.pool};
-        Verdicts verdicts;
-        bool known = false;
-        bool queued = false;
-        {
-            std::lock_guard lock(this->mutex);
-            Pool *pool = this->stopped ? nullptr : this->poolOf(key, now);
-            known = pool != nullptr;
-            if (known) {
-                const Ticket inPool = ++this->lastTicket;
-                this->origins[inPool] = Origin{asker, key, now + request.left + lostMargin};
-                if (inPool % purgeInterval == 0)
-                    this->purge(now);
-                this->tickets[asker] = inPool;
-                pool->slots.request(inPool, demandOf(request, now), request.from, request.mayWait,
-                                    now);
-                verdicts = this->dispatch(*pool, key, now);
-                queued = this->tickets.contains(asker)
-                        && std::none_of(verdicts.begin(), verdicts.end(), [&](const auto &verdict) {
-                               return verdict.first == asker;
-                           });
-            }
-        }
-        if (!known)
-            this->tell(asker, std::nullopt);
-        if (queued && asker.endpoint)
-            this->channel.send(*asker.endpoint, encodeSlotMessage({asker.ticket, SlotQueued{}}));
-        this->tellAll(std::move(verdicts));
-    }
-
-    // Drops slots whose release was lost. Called with the lock held.
-    void purge(core::TimePoint now)
-    {
-        std::erase_if(this->origins, [this, now](const auto &entry) {
-            if (now < entry.second.expiresAt)
-                return false;
-            this->tickets.erase(entry.second.asker);
-            return true;
-        });
-    }
-
-    static balance::Demand demandOf(const SlotRequest &request, core::TimePoint now)
-    {
-        balance::Demand demand;
-        demand.route = request.route;
-        demand.kind = request.kind;
-        demand.priority = request.priority;
-        demand.targetLatency = request.targetLatency;
-        demand.arrived = now;
-        demand.deadline = now + request.left;
-        demand.owner = request.server;
-        demand.tried = request.tried;
-        return demand;
-    }
-
-    void takeBack(const Asker &asker, const SlotRelease &release)
-    {
-        const core::TimePoint now = this->clock.now();
-        Verdicts verdicts;
-        {
-            std::lock_guard lock(this->mutex);
-            const auto ticket = this->tickets.find(asker);
-            if (ticket == this->tickets.end())
-                return;
-            const auto origin = this->origins.find(ticket->second);
-            const PoolKey key = origin->second.pool;
-            const auto pool = this->pools.find(key);
-            if (pool != this->pools.end()) {
-                pool->second.slots.release(ticket->second, release.result, release.elapsed,
-                                           release.report, now);
-                verdicts = this->dispatch(pool->second, key, now);
-            }
-            this->origins.erase(origin);
-            this->tickets.erase(asker);
-        }
-        this->tellAll(std::move(verdicts));
-    }
-
-    // Called with the lock held. Keeps the origin of granted slots, for their release.
-    Verdicts dispatch(Pool &pool, const PoolKey &key, core::TimePoint now)
-    {
-        Verdicts verdicts;
-        for (balance::SlotVerdict &verdict : pool.slots.dispatch(now)) {
-            const auto origin = this->origins.find(verdict.ticket);
-            if (origin == this->origins.end())
-                continue;
-            const Asker asker = origin->second.asker;
-            if (std::holds_alternative<balance::Refuse>(verdict.decision)) {
-                this->origins.erase(origin);
-                this->tickets.erase(asker);
-            }
-            verdicts.emplace_back(asker, std::move(verdict.decision));
-        }
-        if (pool.slots.waiting() > 0 && !pool.ticking) {
-            pool.ticking = true;
-            this->clock.schedule(now + this->limits.tick, [weak = this->weak_from_this(), key] {
-                if (const auto self = weak.lock())
-                    self->onTick(key);
-            });
-        }
-        return verdicts;
-    }
-
-    void onTick(const PoolKey &key)
-    {
-        const core::TimePoint now = this->clock.now();
-        Verdicts verdicts;
-        {
-            std::lock_guard lock(this->mutex);
-            const auto found = this->pools.find(key);
-            if (found == this->pools.end())
-                return;
-            found->second.ticking = false;
-            verdicts = this->dispatch(found->second, key, now);
-        }
-        this->tellAll(std::move(verdicts));
-    }
-
-    void tellAll(Verdicts verdicts)
-    {
-        for (auto &[asker, decision] : verdicts)
-            this->tell(asker, std::move(decision));
-    }
-
+    // A decision for `asker`; nothing: it has to decide alone.
     void tell(const Asker &asker, std::optional<balance::SlotDecision> decision)
     {
         if (!asker.endpoint)
@@ -599,18 +407,24 @@
         this->channel.send(*asker.endpoint, encodeSlotMessage(message));
     }
 
+    void tellQueued(const Asker &asker)
+    {
+        if (asker.endpoint)
+            this->channel.send(*asker.endpoint, encodeSlotMessage({asker.ticket, SlotQueued{}}));
+    }
+
     clock::Clock &clock;
     log::EventLog &events;
     gateway::Gateway &gateway;
     membership::Members &members;
     DatagramChannel &channel;
     const CoordinatorLimits limits;
-    std::atomic<bool> stopped{false};
 
-    // Guards what follows. Tables of the gateway are read under it; nothing is sent or called back.
+    std::shared_ptr<SlotGiver> giver;
+
+    // Guards what follows. The table of members is read under it; nothing is sent or called back.
     std::mutex mutex;
     Ticket lastTicket;
-    std::uint64_t lastSeed = 0;
     std::map<Ticket, Ask> asks;
     std::deque<Watched> watched;                       // Invariant: in order of `until`.
     bool watching = false;                             // The timer for the first one runs.
@@ -618,9 +432,6 @@
     unsigned silent = 0; // Unanswered steps in a row, whoever was asked.
     core::TimePoint aloneUntil{};
     std::map<PoolKey, Assignee> assignees;
-    std::map<PoolKey, Pool> pools;
-    std::map<Ticket, Origin> origins; // By ticket in the pool.
-    std::map<Asker, Ticket> tickets;  // Ticket in the pool by asker.
 };
 
 } // namespace
