Don't pass on requests whose callers have left before they were read

A request that lies in the socket's buffer beside the end of the connection was read and passed on; the end was noticed only after that. That the instance stalled is inferred from the times, not seen in its logs.

Change: the listener looks for the end of the connection before it passes a request on.

The test fails without the change (2 requests handled, 1 expected) and passes with it.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -180,6 +180,9 @@
 
 void ServerConnection::handleRequest()
 {
+    // After a stall of this process a request may be read whose client has given it up already.
+    if (net::isClosedByPeer(this->socket))
+        return this->abort();
     this->state = State::Answering;
     this->deadline.clear();
     core::HttpRequest request = this->takeRequest();
--- a/libs/http/tests/server_test.cpp
+++ b/libs/http/tests/server_test.cpp
@@ -230,6 +230,29 @@
     CHECK(flag->wait());
 }
 
+// An instance that stalled for a second read requests whose callers had left, and sent them to
+// backend servers.
+TEST_CASE("a request whose client has left before it is read is not passed on")
+{
+    boost::asio::io_context stalled;
+    int handled = 0;
+    FunctionHandler handler([&handled](core::HttpRequest request, const Respond &respond) {
+        ++handled;
+        return echo(std::move(request), respond);
+    });
+    auto server =
+            core::attempt([&] { return http::makeHttpServer(stalled, anyLoopbackPort, handler); });
+    REQUIRE(server);
+    {
+        RawSocket client((*server)->localEndpoint());
+        client.write("GET /gone HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    RawSocket present((*server)->localEndpoint());
+    present.write("GET /here HTTP/1.1\r\nHost: a\r\n\r\n");
+    stalled.run_for(std::chrono::milliseconds(300));
+    CHECK(handled == 1);
+}
+
 TEST_CASE("an error of the handler becomes a refusal that says whether the request ran")
 {
     Fixture fixture([](core::HttpRequest request, const Respond &respond) {
--- a/libs/net/include/amaranthdale/net/socket.h
+++ b/libs/net/include/amaranthdale/net/socket.h
@@ -28,6 +28,9 @@
 /// `3 s` when the path was lost without a reset.
 void watchSocket(Socket &socket);
 
+/// True when the other side has closed or reset the connection and all that it sent was read.
+bool isClosedByPeer(Socket &socket);
+
 /// Closes without an error; a socket that is already closed is left alone.
 void closeSocket(Socket &socket);
 
--- a/libs/net/src/socket.cpp
+++ b/libs/net/src/socket.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 namespace amaranthdale::net {
 
@@ -56,6 +59,13 @@
     socket.set_option(LostProbes(mostLostProbes), ignored);
 }
 
+bool isClosedByPeer(Socket &socket)
+{
+    char next = 0;
+    const auto size = ::recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+}
+
 void closeSocket(Socket &socket)
 {
     ErrorCode ignored;
--- a/libs/relay/src/relay.cpp
+++ b/libs/relay/src/relay.cpp
@@ -127,7 +127,7 @@
             respond(core::makeResponse(statusNotFound, "{}"));
             return nullptr;
         }
-        this->serve(*wanted, std::move(respond));
+        this->serve(*wanted, respond);
         return nullptr;
     }
 
@@ -264,7 +264,7 @@
             respond(std::move(response));
     }
 
-    void serve(const ReadRequest &wanted, core::ResponseHandler respond)
+    void serve(const ReadRequest &wanted, const core::ResponseHandler &respond)
     {
         const core::TimePoint now = this->clock.now();
         core::HttpResponse response = core::makeResponse(statusNotFound, "{}");
@@ -284,7 +284,7 @@
                 wait = std::min(wait,
                                 state.answeredAt + this->limits.freshness + staleMargin
                                         - this->clock.uptime());
-                state.waiters.emplace(number, Waiter{wanted.from, std::move(respond)});
+                state.waiters.emplace(number, Waiter{wanted.from, respond});
             }
         }
         if (number == 0)
--- a/libs/slots/src/slot_messages.cpp
+++ b/libs/slots/src/slot_messages.cpp
@@ -16,6 +16,10 @@
     using Ts::operator()...;
 };
 
+// clang 14 does not deduce the arguments of an aggregate.
+template<class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
 class Writer
 {
 public:
