Close the listening port at once; serve what was accepted before a planned stop

Cause: Acceptor::stop posted the close to its strand, so for as long as the event loop was busy the port still took connections after the listener was gone. Looking at the same path for the operators' report on planned stops showed two ways to cut requests that had just been accepted: a connection in the listen queue was reset by the close, and a request that had been read while its completion was still queued was taken for an idle connection (the receive buffer was empty already).

Change: the acceptor is guarded by a mutex and closed before stop returns; a drain first takes what waits in the listen queue; a connection accepted during a drain is served once; a drained idle connection cancels its read, which completes with the request if there is one.

--- a/libs/http/include/amaranthdale/http/backend_client.h
+++ b/libs/http/include/amaranthdale/http/backend_client.h
@@ -18,6 +18,9 @@
     std::size_t maxConnectionsPerEndpoint = 100; ///< Further requests are queued.
     std::size_t maxHeaderBytes = 16 * 1024;      ///< Maximum size of a response header.
     std::size_t maxChunkBytes = 64 * 1024;       ///< Maximum size of one read of a response body.
+    /// Maximum size of what precedes a response: interim responses (100 Continue) and responses to
+    /// other requests. A faulty server may send them without end.
+    std::size_t maxSkippedBytes = 1024 * 1024;
     core::Duration connectTimeout = std::chrono::seconds(1);
     core::Duration idleTimeout = std::chrono::seconds(20); ///< For idle pooled connections.
 };
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -135,6 +135,7 @@
     this->writing = true;
     this->releasePending = false;
     this->writtenBytes = 0;
+    this->skippedBytes = 0;
     this->resetParser();
     this->deadline.setAt(this->current->expiresAt);
     const std::array<boost::asio::const_buffer, 2> buffers{
@@ -210,6 +211,8 @@
         net::ErrorCode error;
         const std::size_t used = this->parser->put(this->buffer.data(), error);
         this->buffer.consume(used);
+        if (this->state == State::AwaitingResponse)
+            this->skippedBytes += used;
         const bool incomplete = error == boost::beast::http::error::need_more;
         const bool limitExceeded = incomplete && this->parser->is_header_done()
                 && this->buffer.size() > maxUnparsedBytes;
@@ -231,6 +234,14 @@
     if (status >= firstFinalStatus)
         return this->isMismatchedResponse() ? this->discardResponse() : this->deliverResponse();
     // Interim response, such as 100 Continue; the final one follows.
+    this->readNextHeader();
+}
+
+void ClientConnection::readNextHeader()
+{
+    if (this->skippedBytes > this->pool->limits.maxSkippedBytes)
+        return this->fail(core::ErrorKind::Protocol,
+                          "too many bytes before the response to the request");
     this->resetParser();
     if (!this->parse())
         return;
@@ -258,15 +269,13 @@
     this->discarding = true;
     this->mustClose = true;
     this->parser->get().body().clear();
+    if (this->skippedBytes > this->pool->limits.maxSkippedBytes)
+        return this->fail(core::ErrorKind::Protocol,
+                          "the response to another request exceeds the size limit");
     if (!this->parser->is_done())
         return this->readMore(this->pool->limits.maxChunkBytes);
     this->discarding = false;
-    this->resetParser();
-    if (!this->parse())
-        return;
-    if (this->parser->is_header_done())
-        return this->onHeader();
-    this->readMore(headerReadBytes);
+    this->readNextHeader();
 }
 
 // Limits the idle time to half of the server's keep-alive timeout, so that no request is sent on a
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -52,6 +52,7 @@
     bool parse();
     void resetParser();
     void onHeader();
+    void readNextHeader();
     bool isMismatchedResponse() const;
     void discardResponse();
     void updateIdleTimeout();
@@ -77,11 +78,12 @@
     ChunkHandler chunkHandler; // Set while a body read is pending.
     bool reading = false;
     bool writing = false;
-    bool reused = false;         // An exchange has completed on this socket.
-    bool resent = false;         // The current exchange has been resent on a new socket.
-    bool releasePending = false; // Response complete, request write still pending.
-    bool discarding = false;     // The response to another request is being read.
-    bool mustClose = false;      // A response to another request arrived; not reusable.
+    bool reused = false;          // An exchange has completed on this socket.
+    bool resent = false;          // The current exchange has been resent on a new socket.
+    bool releasePending = false;  // Response complete, request write still pending.
+    bool discarding = false;      // The response to another request is being read.
+    bool mustClose = false;       // A response to another request arrived; not reusable.
+    std::size_t skippedBytes = 0; // Received since the request was written, before its response.
     core::Duration idleTimeout{};
     std::size_t writtenBytes = 0;
     std::uint64_t socketGeneration = 0; // Detects completions of a replaced socket.
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -10,8 +10,11 @@
 void acceptConnection(const std::shared_ptr<ServerContext> &serverContext, net::Socket socket)
 {
     auto connection = std::make_shared<ServerConnection>(std::move(socket), serverContext);
-    if (serverContext->connections.add(connection))
-        connection->start();
+    if (!serverContext->connections.add(connection))
+        return;
+    connection->start();
+    if (serverContext->connections.isDraining())
+        connection->drain();
 }
 
 } // namespace
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -4,6 +4,7 @@
 #include "error_response.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -55,17 +56,28 @@
 {
     boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
         self->draining = true;
+        // The pending read completes either with a request that has arrived or as cancelled.
         net::ErrorCode ignored;
-        // A request already in the socket's receive buffer is still handled.
-        if (self->state == State::Idle && self->socket.available(ignored) == 0)
-            self->abort();
+        if (self->state == State::Idle && self->reading)
+            self->socket.cancel(ignored);
     });
 }
 
+// A request that is already in the socket's receive buffer is still handled.
+void ServerConnection::onDrainedWhileIdle()
+{
+    net::ErrorCode ignored;
+    if (this->socket.available(ignored) == 0)
+        return this->abort();
+    this->readMore();
+}
+
 void ServerConnection::startReading()
 {
     if (this->state != State::Closed)
         this->awaitRequest();
+    if (this->state == State::Idle && this->draining)
+        this->drain();
 }
 
 void ServerConnection::awaitRequest()
@@ -101,6 +113,9 @@
     this->reading = false;
     if (this->state == State::Closed)
         return;
+    const bool cancelled = error == boost::asio::error::operation_aborted;
+    if (cancelled && this->draining && this->state == State::Idle)
+        return this->onDrainedWhileIdle();
     if (error)
         return this->abort();
     this->buffer.commit(size);
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -44,6 +44,7 @@
 
     void startReading();
     void awaitRequest();
+    void onDrainedWhileIdle();
     void readMore();
     void onRead(const net::ErrorCode &error, std::size_t size);
     void parse();
--- a/libs/http/tests/server_test.cpp
+++ b/libs/http/tests/server_test.cpp
@@ -296,6 +296,29 @@
     CHECK_THROWS(RawSocket(fixture.endpoint()));
 }
 
+// A connection in the listen queue has been accepted as far as its client can tell, and its request
+// may have been sent. Closing the listener reset it without a response.
+TEST_CASE("server: drain answers the requests of connections that wait in the listen queue")
+{
+    boost::asio::io_context context;
+    FunctionHandler handler(&echo);
+    auto server =
+            core::attempt([&] { return http::makeHttpServer(context, anyLoopbackPort, handler); });
+    REQUIRE(server);
+    RawSocket client((*server)->localEndpoint());
+    client.write("GET /late HTTP/1.1\r\n\r\n");
+    bool drained = false;
+    (*server)->drain([&] { drained = true; });
+    CHECK_THROWS(RawSocket((*server)->localEndpoint()));
+    std::thread worker([&] { context.run(); });
+    const std::string response = client.readUntil();
+    client.close();
+    worker.join();
+    CHECK(contains(response, "GET /late"));
+    CHECK(contains(response, "Connection: close"));
+    CHECK(drained);
+}
+
 TEST_CASE("server: listening on an address in use fails with Unavailable")
 {
     Fixture fixture;
--- a/libs/net/include/amaranthdale/net/acceptor.h
+++ b/libs/net/include/amaranthdale/net/acceptor.h
@@ -31,9 +31,13 @@
 class ConnectionSet
 {
 public:
-    /// Adds a connection. Returns false after `closeAll` or `drainAll`.
+    /// Adds a connection. Returns false after `closeAll`, and after the end of a drain. During a
+    /// drain, the caller has to drain the connection once it is started.
     bool add(const std::shared_ptr<Connection> &connection);
 
+    /// True after `closeAll` or `drainAll`.
+    bool isDraining() const;
+
     /// Removes a closed connection. The last removal completes a drain.
     void remove(const Connection *connection);
 
@@ -46,9 +50,9 @@
     // Rejects further connections and returns those that are open.
     std::vector<std::shared_ptr<Connection>> beginShutdown();
 
-    std::mutex mutex;
+    mutable std::mutex mutex;
     bool shuttingDown = false;
-    std::function<void()> onDrained;
+    std::function<void()> onDrained; // Set while a drain waits for the last removal.
     std::unordered_map<const Connection *, std::weak_ptr<Connection>> connections;
 };
 
@@ -64,16 +68,21 @@
     /// not an IP address, with Unavailable when it can't be bound.
     core::Result<core::Endpoint> listen(const core::Endpoint &address);
 
-    /// Closes the acceptor asynchronously, on its strand; until then it may accept connections.
-    /// Thread-safe.
+    /// Closes the acceptor before it returns: later connections are refused. A connection that was
+    /// accepted before may still reach the handler. Thread-safe.
     void stop();
 
+    /// Passes the connections that wait in the listen queue to the handler. To be called before
+    /// `stop`, which resets them. Thread-safe.
+    void drainBacklog();
+
 private:
     void acceptNext();
     void onAccepted(const ErrorCode &error, Socket socket);
 
     boost::asio::io_context &context;
     Strand strand;
+    std::mutex mutex; // Guards acceptor and retryTimer; a leaf lock, not held during the handler.
     boost::asio::basic_socket_acceptor<Tcp, Strand> acceptor;
     boost::asio::steady_timer retryTimer;
     SocketHandler handler;
--- a/libs/net/include/amaranthdale/net/listener.h
+++ b/libs/net/include/amaranthdale/net/listener.h
@@ -62,6 +62,7 @@
 
     void drain(std::function<void()> drained) override
     {
+        this->acceptor->drainBacklog();
         this->acceptor->stop();
         this->shared->connections.drainAll(std::move(drained));
     }
--- a/libs/net/src/acceptor.cpp
+++ b/libs/net/src/acceptor.cpp
@@ -17,12 +17,18 @@
 bool ConnectionSet::add(const std::shared_ptr<Connection> &connection)
 {
     std::lock_guard lock(this->mutex);
-    if (this->shuttingDown)
+    if (this->shuttingDown && !this->onDrained)
         return false;
     this->connections.emplace(connection.get(), connection);
     return true;
 }
 
+bool ConnectionSet::isDraining() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->shuttingDown;
+}
+
 void ConnectionSet::remove(const Connection *connection)
 {
     std::function<void()> callback;
@@ -96,15 +102,35 @@
 
 void Acceptor::stop()
 {
-    boost::asio::post(this->strand, [self = this->shared_from_this()] {
-        ErrorCode ignored;
-        self->acceptor.close(ignored);
-        self->retryTimer.cancel();
-    });
+    std::lock_guard lock(this->mutex);
+    ErrorCode ignored; // The descriptor is released even when closing reports an error.
+    this->acceptor.close(ignored);
+    this->retryTimer.cancel();
+}
+
+void Acceptor::drainBacklog()
+{
+    std::vector<Socket> waiting;
+    {
+        std::lock_guard lock(this->mutex);
+        ErrorCode error;
+        this->acceptor.non_blocking(true, error);
+        while (!error) {
+            Socket socket(boost::asio::make_strand(this->context));
+            this->acceptor.accept(socket, error);
+            if (!error)
+                waiting.push_back(std::move(socket));
+        }
+    }
+    for (Socket &socket : waiting) {
+        tuneSocket(socket);
+        this->handler(std::move(socket));
+    }
 }
 
 void Acceptor::acceptNext()
 {
+    std::lock_guard lock(this->mutex);
     if (!this->acceptor.is_open())
         return;
     this->acceptor.async_accept(
@@ -121,6 +147,7 @@
         this->handler(std::move(socket));
         return this->acceptNext();
     }
+    std::lock_guard lock(this->mutex);
     if (!this->acceptor.is_open())
         return;
     this->retryTimer.expires_after(acceptRetryDelay);
--- a/libs/peer/src/peer_server.cpp
+++ b/libs/peer/src/peer_server.cpp
@@ -68,6 +68,8 @@
         if (session->isOpen())
             session->start();
     });
+    if (shared->connections.isDraining())
+        session->connection->drain();
 }
 
 } // namespace
