Bound what entries of foreign writers may say; one odd item costs that item only

Cause: anyone may write an entry among those of the servers. On decodeServer took capacity as 0 slots, 1e15 as 2,764,472,320, port 0, host names, CR LF inside an address, a name or a data centre, and warm-ups that overflow a duration; one item of the store's newest records whose key or value isn't a string failed the whole page and with it the view of all servers; a member whose name holds a line feed split the list that a relay hands on, so that every other instance failed to read it.

--- a/libs/membership/src/member_text.cpp
+++ b/libs/membership/src/member_text.cpp
@@ -1,6 +1,7 @@
 // Formatting and parsing of members.
 #include "amaranthdale/membership/member_text.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -21,6 +22,13 @@
                                  "on all instances"};
 }
 
+// A control character, such as a line feed, would split the member in a list of members.
+bool isPrintable(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; });
+}
+
 } // namespace
 
 std::string formatMember(const Member &member)
@@ -48,8 +56,9 @@
     const auto peer = core::attempt([&] { return core::parseEndpoint(fields[2]); });
     const char *end = fields[3].data() + fields[3].size();
     const auto parsed = std::from_chars(fields[3].data(), end, member.cores);
-    if (member.name.empty() || !peer || parsed.ec != std::errc() || parsed.ptr != end
-        || !(member.cores > 0) || member.cores > maxCores)
+    if (!isPrintable(text) || member.name.empty() || !peer || peer->port == 0
+        || parsed.ec != std::errc() || parsed.ptr != end || !(member.cores > 0)
+        || member.cores > maxCores)
         return malformed(text);
     member.peer = *peer;
     return member;
--- a/libs/membership/tests/member_text_test.cpp
+++ b/libs/membership/tests/member_text_test.cpp
@@ -28,9 +28,10 @@
 
 TEST_CASE("an invalid member text is an error and never yields a member without an address")
 {
-    for (const char *text :
-         {"", "edge-1", "a|b|c|d", "a|b|10.0.0.1:5", "|b|10.0.0.1:5|1", "a|b|10.0.0.1:5|0",
-          "a|b|10.0.0.1:5|-1", "a|b|10.0.0.1:5|1|x", "a|b|10.0.0.1:5|nan"})
+    for (const char *text : {"", "edge-1", "a|b|c|d", "a|b|10.0.0.1:5", "|b|10.0.0.1:5|1",
+                             "a|b|10.0.0.1:5|0", "a|b|10.0.0.1:5|-1", "a|b|10.0.0.1:5|1|x",
+                             "a|b|10.0.0.1:5|nan", "a|b|10.0.0.1:0|1", "a|b|10.0.0.1:65536|1",
+                             "a\nc|b|10.0.0.1:5|1", "a|b\r|10.0.0.1:5|1", "a|b|10.0.0.1:5|1e400"})
         CHECK(!parseMember(text));
     const bool safe = rc::check("arbitrary texts are parsed without a crash",
                                 [](const std::string &text) { parseMembers(text); });
--- a/libs/relay/include/amaranthdale/relay/record_source.h
+++ b/libs/relay/include/amaranthdale/relay/record_source.h
@@ -25,6 +25,7 @@
 {
     std::vector<Record> records;
     std::uint64_t nextOffset = 0;
+    std::size_t unreadable = 0; ///< Records that were skipped because they can't be decoded.
 };
 
 /// Consecutive records of a partition.
--- a/libs/slots/src/slot_messages.cpp
+++ b/libs/slots/src/slot_messages.cpp
@@ -10,6 +10,9 @@
 constexpr std::size_t maxTried = 16;
 constexpr unsigned slowdownScale = 100; // Slowdowns are encoded in hundredths.
 
+// Bound of each number of a load report; a sender of another version may exceed it.
+constexpr std::uint64_t maxReported = 1'000'000;
+
 template<class... Ts>
 struct Overloaded : Ts...
 {
@@ -144,10 +147,10 @@
     if (reader.number(1) == 0)
         return release;
     balance::LoadReport report;
-    report.running = static_cast<unsigned>(reader.number(4));
-    report.waiting = static_cast<unsigned>(reader.number(4));
-    report.slots = static_cast<unsigned>(reader.number(4));
-    report.slowdown = static_cast<double>(reader.number(4)) / slowdownScale;
+    report.running = static_cast<unsigned>(std::min(reader.number(4), maxReported));
+    report.waiting = static_cast<unsigned>(std::min(reader.number(4), maxReported));
+    report.slots = static_cast<unsigned>(std::min(reader.number(4), maxReported));
+    report.slowdown = static_cast<double>(std::min(reader.number(4), maxReported)) / slowdownScale;
     release.report = report;
     return release;
 }
