Heed a server that says it is leaving, or wants a pause; end what has no end

A server that leaves says so in every answer, and one that turns a request away may say for how long it wants nothing from this instance; both were passed over.

Change: - Directory keeps the mark of a leaving incarnation until another one is announced, whatever the registry says. The owner of a key is used for one more second while its keys move. Slots allocated elsewhere for such a server are given back. - ServerPauses (balance, no I/O): nothing is sent to a paused server; requests go elsewhere, wait for its end, or are refused with it. Gateway: a response that is incomplete at the deadline ends as 504 and its connection is closed; one that is already being forwarded gets 5 s more.

--- a/libs/balance/include/amaranthdale/balance/service_balancer.h
+++ b/libs/balance/include/amaranthdale/balance/service_balancer.h
@@ -4,6 +4,7 @@
 #include "amaranthdale/balance/retry_budget.h"
 #include "amaranthdale/balance/route_latencies.h"
 #include "amaranthdale/balance/server_load.h"
+#include "amaranthdale/balance/server_pauses.h"
 #include "amaranthdale/catalog/catalogue.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -64,6 +65,8 @@
                     std::uint64_t seed);
 
     void setService(const catalog::Service &configured) { this->service = configured; }
+
+    /// Replaces the servers. Those that are leaving serve only requests for keys that they own.
     void setServers(const catalog::BackendServers &usable, core::TimePoint now);
     void setShare(BalancerShare balancerShare);
 
@@ -87,6 +90,24 @@
                core::TimePoint sentAt, core::TimePoint now);
     void onReport(const core::ServerName &server, const LoadReport &report, core::TimePoint now);
 
+    /// Sends nothing to a server for `duration`, as it asked for with a refusal. Durations above
+    /// `maxPause` count as `maxPause`.
+    void pause(const core::ServerName &server, std::uint64_t incarnation, core::Duration duration,
+               core::TimePoint now);
+
+    /// False while the server is paused.
+    bool accepts(const core::ServerName &server, core::TimePoint now) const;
+
+    /// Names of the servers that are paused.
+    std::vector<core::ServerName> paused(core::TimePoint now) const
+    {
+        return this->pauses.active(now);
+    }
+
+    /// Bounds what one malformed refusal costs. A server that still wants no requests then says so
+    /// in response to the next one.
+    static constexpr core::Duration maxPause = std::chrono::seconds(60);
+
     /// `ServerLoad::capacity` of a server; 1 for an unknown server.
     double capacity(const core::ServerName &server) const;
 
@@ -109,12 +130,14 @@
     double warmupRate() const;
     core::Duration warmupInterval() const;
     unsigned maxInFlightPerServer() const;
+    core::TimePoint pauseEnd(const ServerLoad &load, core::TimePoint now) const;
 
     catalog::Service service;
     RetryBudget budget;
     BalancerShare share;
     core::DataCentreName dataCentre;
     std::map<core::ServerName, ServerLoad> servers;
+    ServerPauses pauses;
     RouteLatencies routeLatencies;
     boost::random::mt19937 random;
 };
--- a/libs/balance/src/service_balancer.cpp
+++ b/libs/balance/src/service_balancer.cpp
@@ -126,8 +126,8 @@
     for (auto &[name, load] : this->servers) {
         const bool tried =
                 std::find(demand.tried.begin(), demand.tried.end(), name) != demand.tried.end();
-        if (tried || load.isAvailable(now) != wantAvailable
-            || load.inFlight() >= this->maxInFlightPerServer()
+        if (tried || load.server().leaving || load.isAvailable(now) != wantAvailable
+            || load.inFlight() >= this->maxInFlightPerServer() || this->pauseEnd(load, now) > now
             || load.earliestWarmup(this->warmupRate(), now) > now)
             continue;
         const Candidate candidate = this->evaluate(load, demand, now);
@@ -147,9 +147,13 @@
     if (candidate)
         return this->admit(*candidate, demand, now);
     core::TimePoint next = core::TimePoint::max();
+    bool allPaused = !this->servers.empty();
     for (auto &[name, load] : this->servers) {
-        if (load.isCold(now))
-            next = std::min(next, load.earliestWarmup(this->warmupRate(), now));
+        const core::TimePoint resumption = this->pauseEnd(load, now);
+        allPaused = allPaused && resumption > now;
+        if (load.isCold(now) || resumption > now)
+            next = std::min(next,
+                            std::max(resumption, load.earliestWarmup(this->warmupRate(), now)));
     }
     const bool busy =
             std::any_of(this->servers.begin(), this->servers.end(), [&](const auto &entry) {
@@ -160,6 +164,8 @@
         return Refuse{overCapacityRetryAfter, "over-capacity"};
     if (next < now + (demand.deadline - now) / 2)
         return WaitUntil{next};
+    if (allPaused)
+        return Refuse{next - now, "servers-paused"};
     return Refuse{unavailableRetryAfter,
                   this->servers.empty() ? "no-server" : "all-servers-failed"};
 }
@@ -172,7 +178,8 @@
     ServerLoad &load = found->second;
     if (!load.isAvailable(now))
         return Refuse{unavailableRetryAfter, "owner-unreachable"};
-    const core::TimePoint next = load.earliestWarmup(this->warmupRate(), now);
+    const core::TimePoint resumption = this->pauseEnd(load, now);
+    const core::TimePoint next = std::max(resumption, load.earliestWarmup(this->warmupRate(), now));
     if (next <= now) {
         const Candidate candidate = this->evaluate(load, demand, now);
         const bool inTime = candidate.expectedLatency <= demand.deadline - now;
@@ -182,6 +189,8 @@
     }
     if (next < now + (demand.deadline - now) / 2)
         return WaitUntil{next};
+    if (resumption > now)
+        return Refuse{resumption - now, "owner-paused"};
     return Refuse{unavailableRetryAfter, "owner-cold"};
 }
 
@@ -235,6 +244,26 @@
         found->second.onReport(report, now);
 }
 
+void ServiceBalancer::pause(const core::ServerName &server, std::uint64_t incarnation,
+                            core::Duration duration, core::TimePoint now)
+{
+    this->pauses.pause(server, incarnation, now + std::min(duration, maxPause), now);
+}
+
+bool ServiceBalancer::accepts(const core::ServerName &server, core::TimePoint now) const
+{
+    const auto found = this->servers.find(server);
+    const core::TimePoint end = found == this->servers.end()
+            ? this->pauses.end(server, std::nullopt, now)
+            : this->pauseEnd(found->second, now);
+    return end <= now;
+}
+
+core::TimePoint ServiceBalancer::pauseEnd(const ServerLoad &load, core::TimePoint now) const
+{
+    return this->pauses.end(load.server().name, load.server().incarnation, now);
+}
+
 double ServiceBalancer::capacity(const core::ServerName &server) const
 {
     const auto found = this->servers.find(server);
--- a/libs/catalog/include/amaranthdale/catalog/directory.h
+++ b/libs/catalog/include/amaranthdale/catalog/directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -19,8 +20,9 @@
     core::ServiceName service;
     core::Endpoint endpoint;
     core::DataCentreName dataCentre;
-    unsigned slots = 1;            ///< Maximum number of concurrent requests.
-    bool draining = false;         ///< Shutting down; gets no new requests.
+    unsigned slots = 1;    ///< Maximum number of concurrent requests.
+    bool draining = false; ///< Shutting down; gets no new requests.
+    bool leaving = false;  ///< Said itself that it is shutting down; serves only keys that it owns.
     std::uint64_t incarnation = 0; ///< Differs between process runs under the same name.
     core::TimePoint coldUntil{};   ///< Sustains only light load before this time.
 
@@ -47,6 +49,14 @@
     /// Removes all servers that are not in `names`. For use after a full read of the registry.
     void retain(const std::set<core::ServerName> &names, core::TimePoint now);
 
+    /// Marks an incarnation of a server as leaving, as the server itself said. Holds until another
+    /// incarnation is announced, whatever the registry says. Returns false if it is unknown here or
+    /// marked already.
+    bool markLeaving(const core::ServerName &name, std::uint64_t incarnation, core::TimePoint now);
+
+    /// When the current incarnation of a server was marked as leaving, if it was.
+    std::optional<core::TimePoint> leavingSince(const core::ServerName &name) const;
+
     /// Reports that the registry responds again after an outage.
     void outageEnded(core::TimePoint now);
 
@@ -66,6 +76,9 @@
     /// Returns the servers of a service that accept new requests, sorted by name.
     BackendServers usable(const core::ServiceName &service) const;
 
+    /// Like `usable`, with the servers that said that they are leaving.
+    BackendServers usableOrLeaving(const core::ServiceName &service) const;
+
     /// Returns all known servers of a service, usable or not.
     BackendServers all(const core::ServiceName &service) const;
 
@@ -84,8 +97,22 @@
     /// was acknowledged (registry's specification), so removals are delayed by less than that.
     static constexpr core::Duration removalDelay = std::chrono::milliseconds(1500);
 
+    /// Marks of servers that have left the registry are kept as well, since an entry may reappear.
+    static constexpr std::size_t maxLeavingMarks = 4096;
+
 private:
+    struct LeavingMark
+    {
+        std::uint64_t incarnation = 0;
+        core::TimePoint since{};
+    };
+
+    bool hasMark(const core::ServerName &name, std::uint64_t incarnation) const;
+    void dropOldestMark();
+
     std::map<core::ServerName, BackendServer> servers;
+    // At most `maxLeavingMarks`. A known server with a mark has `leaving` set.
+    std::map<core::ServerName, LeavingMark> leavingMarks;
     // Servers removed during the grace period, with the time at which the removal takes effect.
     std::map<core::ServerName, core::TimePoint> delayedRemovals;
     // Incarnations announced once while a higher incarnation of the server was known.
--- a/libs/catalog/src/directory.cpp
+++ b/libs/catalog/src/directory.cpp
@@ -8,6 +8,7 @@
 DirectoryChange Directory::announce(BackendServer server)
 {
     this->delayedRemovals.erase(server.name);
+    server.leaving = this->hasMark(server.name, server.incarnation);
     const auto found = this->servers.find(server.name);
     if (found == this->servers.end()) {
         this->servers.emplace(server.name, std::move(server));
@@ -57,6 +58,43 @@
         this->remove(name, now);
 }
 
+bool Directory::markLeaving(const core::ServerName &name, std::uint64_t incarnation,
+                            core::TimePoint now)
+{
+    const auto found = this->servers.find(name);
+    if (found == this->servers.end() || found->second.incarnation != incarnation
+        || found->second.leaving)
+        return false;
+    if (this->leavingMarks.size() >= maxLeavingMarks)
+        this->dropOldestMark();
+    this->leavingMarks.insert_or_assign(name, LeavingMark{incarnation, now});
+    found->second.leaving = true;
+    return true;
+}
+
+void Directory::dropOldestMark()
+{
+    const auto oldest = std::min_element(
+            this->leavingMarks.begin(), this->leavingMarks.end(),
+            [](const auto &a, const auto &b) { return a.second.since < b.second.since; });
+    if (oldest != this->leavingMarks.end())
+        this->leavingMarks.erase(oldest);
+}
+
+bool Directory::hasMark(const core::ServerName &name, std::uint64_t incarnation) const
+{
+    const auto mark = this->leavingMarks.find(name);
+    return mark != this->leavingMarks.end() && mark->second.incarnation == incarnation;
+}
+
+std::optional<core::TimePoint> Directory::leavingSince(const core::ServerName &name) const
+{
+    const BackendServer *server = this->find(name);
+    if (server == nullptr || !this->hasMark(name, server->incarnation))
+        return std::nullopt;
+    return this->leavingMarks.at(name).since;
+}
+
 void Directory::outageEnded(core::TimePoint now)
 {
     this->graceEnd = now + reregistrationGrace;
@@ -96,6 +134,13 @@
 }
 
 BackendServers Directory::usable(const core::ServiceName &service) const
+{
+    BackendServers found = this->usableOrLeaving(service);
+    std::erase_if(found, [](const BackendServer &server) { return server.leaving; });
+    return found;
+}
+
+BackendServers Directory::usableOrLeaving(const core::ServiceName &service) const
 {
     BackendServers found;
     for (const auto &[name, server] : this->servers) {
@@ -125,7 +170,7 @@
 {
     const BackendServer *server = this->find(name);
     return server != nullptr && server->incarnation == incarnation && !server->draining
-            && !this->isDrained(server->dataCentre);
+            && !server->leaving && !this->isDrained(server->dataCentre);
 }
 
 } // namespace amaranthdale::catalog
--- a/libs/catalog/tests/directory_test.cpp
+++ b/libs/catalog/tests/directory_test.cpp
@@ -25,6 +25,29 @@
 
 } // namespace
 
+TEST_CASE("a server that said that it is leaving gets no requests until it is restarted")
+{
+    Directory directory;
+    directory.announce(server("a", 1));
+    CHECK(directory.markLeaving(core::ServerName("a"), 1, start));
+    CHECK_FALSE(directory.markLeaving(core::ServerName("a"), 1, start + seconds(1)));
+    CHECK(directory.leavingSince(core::ServerName("a")) == start);
+    CHECK_FALSE(directory.isUsable(core::ServerName("a"), 1));
+    CHECK(directory.usable(stock).empty());
+
+    // The registry may still say that it is ready, or remove the entry and list it again.
+    directory.announce(server("a", 1));
+    directory.remove(core::ServerName("a"), start);
+    directory.announce(server("a", 1));
+    CHECK_FALSE(directory.isUsable(core::ServerName("a"), 1));
+
+    directory.announce(server("a", 2));
+    CHECK(directory.isUsable(core::ServerName("a"), 2));
+    CHECK_FALSE(directory.leavingSince(core::ServerName("a")));
+    CHECK_FALSE(directory.markLeaving(core::ServerName("a"), 1, start));
+    CHECK_FALSE(directory.markLeaving(core::ServerName("b"), 1, start));
+}
+
 TEST_CASE("a draining server gets no new requests but stays known")
 {
     Directory directory;
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -37,6 +37,9 @@
     std::size_t maxBufferedBytes = 1024 * 1024;
     /// Timeout of requests that don't specify one; the timeout of the route still applies.
     core::Duration defaultTimeout = std::chrono::seconds(30);
+    /// The owner of a key still gets requests for this long after it has said that it is leaving,
+    /// while its keys are moved. Other servers get none.
+    core::Duration leavingOwnerGrace = std::chrono::seconds(1);
     std::uint64_t seed = 1;
 };
 
@@ -67,6 +70,10 @@
         return this->directory.with(std::forward<Function>(function));
     }
 
+    /// Stops new requests to a server that has said that it is leaving. Holds until the registry
+    /// announces another incarnation.
+    void markLeaving(const core::ServerName &server, std::uint64_t incarnation);
+
     /// Replaces the assignment of a service's keys.
     void setAssignment(const core::ServiceName &service, keyspace::Assignment assignment);
 
@@ -111,8 +118,11 @@
 
     using Waiter = std::function<void()>;
 
+    bool mayServeKeys(const catalog::Directory &servers, const core::ServerName &name,
+                      std::uint64_t incarnation) const;
     std::optional<catalog::BackendServer> usableServer(const core::ServiceName &service,
-                                                       const core::ServerName &name) const;
+                                                       const core::ServerName &name,
+                                                       bool forOwnedKey) const;
     std::optional<core::ServerName> findOwner(const core::ServiceName &service,
                                               keyspace::Key key) const;
     void countKey(const core::ServiceName &service, keyspace::Key key);
--- a/libs/gateway/include/amaranthdale/gateway/wire_format.h
+++ b/libs/gateway/include/amaranthdale/gateway/wire_format.h
@@ -34,6 +34,8 @@
 {
     ResponseClass responseClass = ResponseClass::Invalid;
     std::optional<balance::LoadReport> load;
+    bool serverLeaving = false;          ///< The server is shutting down.
+    std::optional<core::Duration> pause; ///< The server wants no requests for this long.
 };
 
 /// Encodes and decodes requests and responses. Thread-safe.
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -1,6 +1,8 @@
 // Processing of a request: server selection, retries, refusals and the final response.
 #include "active_request.h"
 
+#include "body_prefix.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -24,6 +26,9 @@
 // Time that a new owner needs to receive its grant after the change of ownership is known here.
 constexpr auto grantDelay = std::chrono::milliseconds(25);
 
+// A response that is already being forwarded at its deadline gets this much longer.
+constexpr auto maxStreamOverrun = std::chrono::seconds(5);
+
 // Delay before a request is sent to the owner again. A full server may reset connections; it has a
 // free slot again after about this time.
 constexpr auto ownerRetryDelay = std::chrono::milliseconds(30);
@@ -49,48 +54,6 @@
     return text;
 }
 
-// Body reader that returns the part that was already read, then the rest of the body.
-class PrefixedBody : public core::BodyReader
-{
-public:
-    PrefixedBody(std::string bodyPrefix, std::shared_ptr<core::BodyReader> remaining)
-        : prefix(std::move(bodyPrefix)), rest(std::move(remaining))
-    { }
-
-    void read(std::function<void(core::Outcome<core::BodyChunk>)> handler) override
-    {
-        if (this->prefix.empty())
-            return this->rest->read(std::move(handler));
-        handler(core::BodyChunk{std::exchange(this->prefix, {}), false});
-    }
-
-private:
-    std::string prefix;
-    std::shared_ptr<core::BodyReader> rest;
-};
-
-struct BodyPrefix
-{
-    std::string text;
-    bool complete = false;
-};
-
-// Reads to the end of the body, or until more than `limit` bytes were read.
-void readPrefix(std::shared_ptr<core::BodyReader> body, std::shared_ptr<std::string> text,
-                std::size_t limit, std::function<void(core::Outcome<BodyPrefix>)> handler)
-{
-    const auto reader = body.get();
-    reader->read([body = std::move(body), text = std::move(text), limit,
-                  handler = std::move(handler)](core::Outcome<core::BodyChunk> chunk) mutable {
-        if (!chunk)
-            return handler(chunk.error());
-        *text += chunk->data;
-        if (chunk->last || text->size() > limit)
-            return handler(BodyPrefix{std::move(*text), chunk->last});
-        readPrefix(std::move(body), std::move(text), limit, std::move(handler));
-    });
-}
-
 } // namespace
 
 ActiveRequest::ActiveRequest(Gateway &owner, core::ResponseHandler responseHandler)
@@ -168,7 +131,7 @@
             return this->wait(std::min(this->ownerWaitEnd, now + 4 * grantDelay));
         }
     }
-    if (this->gateway.slotAllocator == nullptr)
+    if (this->gateway.slotAllocator == nullptr || this->isOwnerPaused())
         return this->chooseLocally();
     if (!this->keyedService)
         return this->requestSlot(std::nullopt);
@@ -177,6 +140,14 @@
     this->chooseLocally();
 }
 
+bool ActiveRequest::isOwnerPaused()
+{
+    return this->demand.owner && !this->gateway.balancers.with([this](auto &all) {
+        return this->gateway.balancerFor(all, this->service)
+                .accepts(*this->demand.owner, this->gateway.clock.now());
+    });
+}
+
 // Selects a server for a request without a key to a keyed service, whose slots are allocated for
 // each server separately.
 std::optional<core::ServerName> ActiveRequest::pickServer()
@@ -192,8 +163,14 @@
 void ActiveRequest::requestSlot(const std::optional<core::ServerName> &target)
 {
     const unsigned requestGeneration = ++this->generation;
+    balance::Demand allocatorDemand = this->demand;
+    this->gateway.balancers.with([&](auto &all) {
+        const auto paused =
+                this->gateway.balancerFor(all, this->service).paused(this->gateway.clock.now());
+        allocatorDemand.tried.insert(allocatorDemand.tried.end(), paused.begin(), paused.end());
+    });
     const balance::Ticket ticket = this->gateway.slotAllocator->request(
-            this->service, this->demand, target,
+            this->service, allocatorDemand, target,
             [self = this->shared_from_this(), requestGeneration, target](balance::Ticket answered,
                                                                          auto decision) {
                 self->onSlotDecision(requestGeneration, answered, target, std::move(decision));
@@ -243,8 +220,13 @@
 // Sends the request to the server that granted a slot, if this instance also considers it usable.
 void ActiveRequest::useSlot(const core::ServerName &name)
 {
-    const auto usable = this->gateway.usableServer(this->service, name);
-    if (!usable) {
+    const auto usable =
+            this->gateway.usableServer(this->service, name, this->demand.owner.has_value());
+    const bool accepts = this->gateway.balancers.with([&](auto &all) {
+        return this->gateway.balancerFor(all, this->service)
+                .accepts(name, this->gateway.clock.now());
+    });
+    if (!usable || !accepts) {
         this->releaseSlot(balance::AttemptResult::Cancelled, {});
         this->demand.tried.push_back(name);
         return this->chooseLocally();
@@ -304,6 +286,7 @@
 void ActiveRequest::send(const catalog::BackendServer &target)
 {
     this->server = target.name;
+    this->serverIncarnation = target.incarnation;
     this->sentAt = this->gateway.clock.now();
     this->loadReport.reset();
     const core::Duration time = this->timeLeft();
@@ -336,12 +319,7 @@
         return this->onTransportError(outcome.error());
     const ServerResponse parsed = this->gateway.wireFormat.classifyResponse(*outcome);
     this->loadReport = parsed.load;
-    if (parsed.load) {
-        this->gateway.balancers.with([&](auto &all) {
-            this->gateway.balancerFor(all, this->service)
-                    .onReport(this->server, *parsed.load, this->gateway.clock.now());
-        });
-    }
+    this->applyServerState(parsed);
     switch (parsed.responseClass) {
     case ResponseClass::Answered:
         return this->readBody(std::move(*outcome));
@@ -362,6 +340,28 @@
     }
 }
 
+// Applies what a response says about the server itself.
+void ActiveRequest::applyServerState(const ServerResponse &parsed)
+{
+    const core::TimePoint now = this->gateway.clock.now();
+    if (parsed.load || parsed.pause) {
+        this->gateway.balancers.with([&](auto &all) {
+            balance::ServiceBalancer &balancer = this->gateway.balancerFor(all, this->service);
+            if (parsed.load)
+                balancer.onReport(this->server, *parsed.load, now);
+            if (parsed.pause)
+                balancer.pause(this->server, this->serverIncarnation, *parsed.pause, now);
+        });
+    }
+    if (parsed.pause)
+        this->gateway.events.write(log::Severity::Info, "server-paused",
+                                   {{"request", this->request.id.value},
+                                    {"server", this->server.value},
+                                    {"seconds", formatSeconds(*parsed.pause)}});
+    if (parsed.serverLeaving)
+        this->gateway.markLeaving(this->server, this->serverIncarnation);
+}
+
 void ActiveRequest::onTransportError(const core::Error &error)
 {
     const bool notSent = error.kind == core::ErrorKind::Unavailable;
@@ -387,24 +387,55 @@
 {
     auto body = response.body;
     const unsigned attemptGeneration = this->generation.load();
-    readPrefix(std::move(body), std::make_shared<std::string>(),
-               this->gateway.limits.maxBufferedBytes,
-               [self = this->shared_from_this(), attemptGeneration,
-                response = std::move(response)](core::Outcome<BodyPrefix> prefix) mutable {
-                   if (attemptGeneration != self->generation || self->isFinished())
-                       return self->endAttempt(balance::AttemptResult::Cancelled);
-                   if (!prefix)
-                       return self->onTransportError(prefix.error());
-                   self->endAttempt(balance::AttemptResult::Answered);
-                   if (prefix->complete) {
-                       response.contentLength = prefix->text.size();
-                       response.body = core::makeStringBody(std::move(prefix->text));
-                   } else {
-                       response.body = std::make_shared<PrefixedBody>(std::move(prefix->text),
-                                                                      std::move(response.body));
-                   }
-                   self->finish(std::move(response), "answered", "");
-               });
+    const core::TimePoint bodyDeadline = this->demand.deadline + responseMargin;
+    readPrefix(
+            std::move(body), std::make_shared<std::string>(), this->gateway.limits.maxBufferedBytes,
+            [self = this->shared_from_this(), attemptGeneration, bodyDeadline,
+             response = std::move(response)](core::Outcome<BodyPrefix> prefix) mutable {
+                if (attemptGeneration != self->generation || self->isFinished())
+                    return self->endAttempt(balance::AttemptResult::Cancelled);
+                if (!prefix)
+                    return self->onBodyError(prefix.error());
+                self->endAttempt(balance::AttemptResult::Answered);
+                if (prefix->complete) {
+                    response.contentLength = prefix->text.size();
+                    response.body = core::makeStringBody(std::move(prefix->text));
+                } else {
+                    response.body = joinBody(std::move(prefix->text), std::move(response.body),
+                                             self->gateway.clock, bodyDeadline + maxStreamOverrun);
+                }
+                self->finish(std::move(response), "answered", "");
+            });
+    if (attemptGeneration == this->generation && !this->isFinished())
+        this->scheduleBodyDeadline(attemptGeneration, bodyDeadline);
+}
+
+// The sender's timeout covers the header, then each read of the body. A server that sends the body
+// slowly or without end would otherwise keep the caller waiting past its deadline.
+void ActiveRequest::scheduleBodyDeadline(unsigned attemptGeneration, core::TimePoint bodyDeadline)
+{
+    this->gateway.clock.schedule(bodyDeadline, [weak = this->weak_from_this(), attemptGeneration] {
+        const auto self = weak.lock();
+        if (!self || self->generation != attemptGeneration)
+            return;
+        std::shared_ptr<core::Exchange> pending;
+        {
+            std::lock_guard lock(self->mutex);
+            if (!self->finished)
+                pending = self->exchange;
+        }
+        if (pending)
+            pending->cancel();
+    });
+}
+
+void ActiveRequest::onBodyError(const core::Error &error)
+{
+    // The expiry of the deadline cancels the body, which fails as a lost connection.
+    if (this->gateway.clock.now() >= this->demand.deadline + responseMargin)
+        return this->onTransportError(core::Error{core::ErrorKind::Timeout,
+                                                  "the response was incomplete at the deadline"});
+    this->onTransportError(error);
 }
 
 void ActiveRequest::onServerFailure(core::HttpResponse response)
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -25,6 +25,7 @@
     void start(core::HttpRequest message);
     void startAttempt();
     void chooseLocally();
+    bool isOwnerPaused();
     void requestSlot(const std::optional<core::ServerName> &target);
     void onSlotDecision(unsigned requestGeneration, balance::Ticket ticket,
                         const std::optional<core::ServerName> &target,
@@ -35,9 +36,11 @@
     void send(const catalog::BackendServer &server);
     void wait(core::TimePoint until);
     void onResponse(unsigned attemptGeneration, core::Outcome<core::HttpResponse> outcome);
+    void applyServerState(const ServerResponse &parsed);
     void onTransportError(const core::Error &error);
     void readBody(core::HttpResponse response);
-    void onBody(core::HttpResponse response, core::Outcome<std::string> body);
+    void scheduleBodyDeadline(unsigned attemptGeneration, core::TimePoint bodyDeadline);
+    void onBodyError(const core::Error &error);
     void onServerFailure(core::HttpResponse response);
     void retryLater();
     bool tryTakeRetry(bool mayHaveRun);
@@ -58,10 +61,11 @@
     core::ServiceName service;
     balance::Demand demand;
     core::TimePoint sentAt{};
-    core::ServerName server;     ///< Server of the attempt in progress.
-    core::ServerName lastServer; ///< Server of the last finished attempt.
-    unsigned attempts = 0;       ///< Attempts that may have run the request.
-    unsigned sends = 0;          ///< Attempts that may have reached a server.
+    core::ServerName server;             ///< Server of the attempt in progress.
+    std::uint64_t serverIncarnation = 0; ///< Incarnation of `server`.
+    core::ServerName lastServer;         ///< Server of the last finished attempt.
+    unsigned attempts = 0;               ///< Attempts that may have run the request.
+    unsigned sends = 0;                  ///< Attempts that may have reached a server.
     /// Number of the current step. Callbacks of earlier steps are ignored.
     std::atomic<unsigned> generation{0};
     core::TimePoint ownerWaitEnd{};
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -75,7 +75,9 @@
                 balance::ServiceBalancer &balancer = this->balancerFor(all, service.name);
                 balancer.setService(service);
                 balancer.setShare({this->instanceCount});
-                balancer.setServers(servers.usable(service.name), now);
+                balancer.setServers(service.keyed ? servers.usableOrLeaving(service.name)
+                                                  : servers.usable(service.name),
+                                    now);
             }
         });
     });
@@ -89,14 +91,45 @@
             [&](const catalog::Directory &servers) { return servers.usable(service); });
 }
 
+void Gateway::markLeaving(const core::ServerName &server, std::uint64_t incarnation)
+{
+    const core::TimePoint now = this->clock.now();
+    const bool marked = this->directory.with([&](catalog::Directory &servers) {
+        return servers.markLeaving(server, incarnation, now);
+    });
+    if (!marked)
+        return;
+    this->events.write(log::Severity::Info, "server-leaving",
+                       {{"server", server.value}, {"incarnation", std::to_string(incarnation)}});
+    this->refreshBalancers();
+}
+
+// True if the server may get requests for keys that it owns.
+bool Gateway::mayServeKeys(const catalog::Directory &servers, const core::ServerName &name,
+                           std::uint64_t incarnation) const
+{
+    if (servers.isUsable(name, incarnation))
+        return true;
+    const catalog::BackendServer *server = servers.find(name);
+    const auto leavingSince = servers.leavingSince(name);
+    return server != nullptr && leavingSince && server->incarnation == incarnation
+            && !server->draining && !servers.isDrained(server->dataCentre)
+            && this->clock.now() < *leavingSince + this->limits.leavingOwnerGrace;
+}
+
 std::optional<catalog::BackendServer> Gateway::usableServer(const core::ServiceName &service,
-                                                            const core::ServerName &name) const
+                                                            const core::ServerName &name,
+                                                            bool forOwnedKey) const
 {
     return this->directory.with(
             [&](const catalog::Directory &servers) -> std::optional<catalog::BackendServer> {
                 const catalog::BackendServer *server = servers.find(name);
-                if (server == nullptr || server->service != service
-                    || !servers.isUsable(name, server->incarnation))
+                if (server == nullptr || server->service != service)
+                    return std::nullopt;
+                const bool usable = forOwnedKey
+                        ? this->mayServeKeys(servers, name, server->incarnation)
+                        : servers.isUsable(name, server->incarnation);
+                if (!usable)
                     return std::nullopt;
                 return *server;
             });
@@ -132,8 +165,8 @@
     const keyspace::OwnedRange *ownedRange = assignment ? assignment->find(key) : nullptr;
     if (ownedRange == nullptr || ownedRange->owner.name.empty())
         return std::nullopt;
-    const bool usable = this->directory.with([ownedRange](const catalog::Directory &servers) {
-        return servers.isUsable(ownedRange->owner.name, ownedRange->owner.incarnation);
+    const bool usable = this->directory.with([&](const catalog::Directory &servers) {
+        return this->mayServeKeys(servers, ownedRange->owner.name, ownedRange->owner.incarnation);
     });
     return usable ? std::optional(ownedRange->owner.name) : std::nullopt;
 }
