--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -69,6 +69,13 @@
 
     void close() { this->socket.close(); }
 
+    /// Closes the connection with a reset, which discards what the other side hasn't received.
+    void reset()
+    {
+        this->socket.set_option(boost::asio::socket_base::linger(true, 0));
+        this->socket.close();
+    }
+
 private:
     void setReadTimeout()
     {
