--- a/libs/membership/include/amaranthdale/membership/members.h
+++ b/libs/membership/include/amaranthdale/membership/members.h
@@ -35,13 +35,17 @@
     /// An instance that did not answer a message gets no task for this period, doubled with each
     /// repetition. It is short, as most missing answers are lost datagrams or short pauses.
     core::Duration suspicion = std::chrono::seconds(1);
+    /// The same for a relay, whose connections don't lose messages: a shorter one would let a dead
+    /// relay be selected again before it leaves the list.
+    core::Duration relaySuspicion = std::chrono::seconds(4);
     core::Duration maxSuspicion = std::chrono::seconds(16);
-    /// The instance count decreases only after this period: an instance that loses its connection
-    /// to the store is missing from the list but continues to send requests.
-    core::Duration countRetention = std::chrono::seconds(30);
-    /// Instance count before the first list was read. Shared budgets are divided by it, so it is
-    /// above that of the largest deployment in use (107).
-    unsigned defaultCount = 128;
+    /// The instance count decreases only after this period: instances that are cut off from this
+    /// one are missing from the list but continue to send requests.
+    core::Duration countRetention = std::chrono::minutes(5);
+    /// Instance count until `countSettleTime` after the first list, which may be incomplete. Shared
+    /// budgets are divided by it, so it is the size of the largest deployment supported.
+    unsigned defaultCount = 1500;
+    core::Duration countSettleTime = std::chrono::seconds(3);
 };
 
 /// Members known to this instance. Lists may differ between instances, so a task may be assigned to
@@ -63,6 +67,10 @@
     /// relay. Ties are broken by name.
     Member selectRelay(core::TimePoint now) const;
 
+    /// The same for any data centre, without `excluded`. Nothing if it has no such member.
+    std::optional<Member> selectRelayOf(const core::DataCentreName &dataCentre, core::TimePoint now,
+                                        const core::InstanceName &excluded = {}) const;
+
     /// The member that allocates the slots of `task`, in `dataCentre` if it is given. It is
     /// selected from the members with the most cores by rendezvous hashing weighted by cores, so
     /// that few tasks move when the list changes. Nothing if there is no such member.
@@ -73,8 +81,8 @@
     /// Data centres with members, sorted by name.
     std::vector<core::DataCentreName> dataCentres() const;
 
-    /// The largest number of listed instances within `countRetention`; `defaultCount` before the
-    /// first list was read.
+    /// The largest number of listed instances within `countRetention`; `defaultCount` until
+    /// `countSettleTime` after the first list.
     unsigned count(core::TimePoint now) const;
 
     /// True after the first list was read.
@@ -101,6 +109,7 @@
         Suspicions suspicions;
         unsigned peakCount = 0; ///< 0 until the first list was read.
         core::TimePoint peakAt{};
+        core::TimePoint firstListAt{};
     };
 
     const Member own;
--- a/libs/membership/src/members.cpp
+++ b/libs/membership/src/members.cpp
@@ -56,6 +56,8 @@
         std::erase_if(current.suspicions, [now](const auto &entry) {
             return entry.second.until + entry.second.length <= now;
         });
+        if (current.peakCount == 0)
+            current.firstListAt = now;
         const bool outdated = now - current.peakAt > this->limits.countRetention;
         if (count < current.peakCount && !outdated)
             return;
@@ -72,26 +74,36 @@
             return; // The message was in transit when the suspicion began.
         const bool repeated = suspicion.length > core::Duration::zero()
                 && now < suspicion.until + suspicion.length;
-        suspicion.length = repeated ? std::min(2 * suspicion.length, this->limits.maxSuspicion)
-                                    : this->limits.suspicion;
+        const core::Duration first =
+                role == InstanceRole::Relay ? this->limits.relaySuspicion : this->limits.suspicion;
+        suspicion.length =
+                repeated ? std::min(2 * suspicion.length, this->limits.maxSuspicion) : first;
         suspicion.until = now + suspicion.length;
     });
 }
 
+// This instance is never suspected, so its own data centre always has a relay.
 Member Members::selectRelay(core::TimePoint now) const
 {
-    return this->state.with([&](const State &current) {
-        const Member *relay = &this->own;
+    return this->selectRelayOf(this->own.dataCentre, now).value_or(this->own);
+}
+
+std::optional<Member> Members::selectRelayOf(const core::DataCentreName &dataCentre,
+                                             core::TimePoint now,
+                                             const core::InstanceName &excluded) const
+{
+    return this->state.with([&](const State &current) -> std::optional<Member> {
+        const Member *relay = nullptr;
         for (const Member &member : current.members) {
-            if (member.dataCentre != this->own.dataCentre
+            if (member.dataCentre != dataCentre || member.name == excluded
                 || this->isSuspected(current.suspicions, InstanceRole::Relay, member, now))
                 continue;
-            const bool better = member.cores > relay->cores
+            const bool better = relay == nullptr || member.cores > relay->cores
                     || (member.cores == relay->cores && member.name < relay->name);
             if (better)
                 relay = &member;
         }
-        return *relay;
+        return relay == nullptr ? std::nullopt : std::optional(*relay);
     });
 }
 
@@ -137,8 +149,8 @@
 unsigned Members::count(core::TimePoint now) const
 {
     return this->state.with([&](const State &current) {
-        if (current.peakCount == 0)
-            return this->limits.defaultCount;
+        if (current.peakCount == 0 || now - current.firstListAt < this->limits.countSettleTime)
+            return std::max(this->limits.defaultCount, current.peakCount);
         const bool outdated = now - current.peakAt > this->limits.countRetention;
         return outdated ? static_cast<unsigned>(current.members.size()) : current.peakCount;
     });
--- a/libs/relay/include/amaranthdale/relay/record_source.h
+++ b/libs/relay/include/amaranthdale/relay/record_source.h
@@ -26,6 +26,8 @@
     std::vector<Record> records;
     std::uint64_t nextOffset = 0;
     std::size_t unreadable = 0; ///< Records that were skipped because they can't be decoded.
+    /// Upper bound on how much older than the call the data may be.
+    core::Duration maxAge{};
 };
 
 /// Consecutive records of a partition.
--- a/libs/relay/include/amaranthdale/relay/relay.h
+++ b/libs/relay/include/amaranthdale/relay/relay.h
@@ -1,8 +1,9 @@
 // Relay through which one instance of each data centre reads the store for the others.
 //
-// GET /records/TOPIC/PART?from=OFFSET&wait=MILLISECONDS, between instances:
+// GET /records/TOPIC/PART?from=OFFSET&wait=MILLISECONDS, between instances; without `from`, the newest
+// record of each key is meant:
 // 200: `End` is the offset to continue reading from; the body holds the records (record_codec.h).
-// 404: this instance doesn't relay the partition from this offset; read the store instead.
+// 404: this instance is not a relay. 410: it doesn't hold the offset; read the store instead.
 // 503: this instance has lost contact with the store.
 #pragma once
 
@@ -20,10 +21,17 @@
     /// Longest wait requested from a relay. Together with `responseMargin`, it bounds the delay of
     /// changes when the relay stops responding.
     core::Duration maxWait = std::chrono::milliseconds(1000);
+    /// The relay may have to read several pages of the store first.
+    core::Duration maxNewestWait = std::chrono::milliseconds(2500);
     core::Duration responseMargin = std::chrono::milliseconds(400);
     /// A relay whose last response from the store is older than this has lost the store. Its own
     /// reads wait for up to 1 s, and a store under load may take 0.3 s more to respond.
     core::Duration maxStaleness = std::chrono::milliseconds(1500);
+    /// An instance that does not relay, though it is selected here, is asked again for this long:
+    /// the lists of members may differ for a moment. The time counts once in `disagreementPeriod`.
+    core::Duration disagreementTime = std::chrono::milliseconds(700);
+    core::Duration disagreementRetry = std::chrono::milliseconds(250);
+    core::Duration disagreementPeriod = std::chrono::seconds(5);
     /// How long the store is read directly after the relay could not serve a read.
     core::Duration directReadTime = std::chrono::milliseconds(1500);
     /// Minimum time between the starts of two reads of a partition by an instance that isn't the
--- a/libs/relay/src/record_tail.cpp
+++ b/libs/relay/src/record_tail.cpp
@@ -24,6 +24,15 @@
     }
 }
 
+void RecordTail::initialise(std::uint64_t offset)
+{
+    if (this->initialised)
+        return;
+    this->first = offset;
+    this->end = offset;
+    this->initialised = true;
+}
+
 std::optional<Batch> RecordTail::readFrom(std::uint64_t from) const
 {
     if (!this->initialised || from < this->first || from > this->end)
--- a/libs/relay/src/record_tail.h
+++ b/libs/relay/src/record_tail.h
@@ -17,9 +17,15 @@
     /// Adds the result of a read from `from`. A gap discards the records held before.
     void add(std::uint64_t from, const Batch &batch);
 
+    /// Starts an empty tail at `offset`, unless one is held already.
+    void initialise(std::uint64_t offset);
+
     /// Records from `from` on, or nullopt if they are not held.
     std::optional<Batch> readFrom(std::uint64_t from) const;
 
+    /// True if `offset` lies behind the records that are held.
+    bool isBehind(std::uint64_t offset) const { return this->initialised && offset > this->end; }
+
 private:
     const std::size_t maxRecords;
     std::uint64_t first = 0;
--- a/libs/relay/src/relay.cpp
+++ b/libs/relay/src/relay.cpp
@@ -1,6 +1,7 @@
 // Reads through the relay of the data centre, with direct reads of the store as the fallback.
 #include "amaranthdale/relay/relay.h"
 
+#include "newest_records.h"
 #include "record_codec.h"
 #include "record_tail.h"
 
@@ -17,15 +18,18 @@
 constexpr std::string_view endHeader = "End";
 constexpr std::size_t maxBodyBytes = 16 * 1024 * 1024;
 constexpr auto staleMargin = std::chrono::milliseconds(1);
+constexpr std::uint64_t maxPartitionIndex = 10'000;
+constexpr std::uint64_t maxWaitMilliseconds = 60'000;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusGone = 410;
 constexpr unsigned statusUnavailable = 503;
 
 // A read requested by another instance.
 struct ReadRequest
 {
     Partition partition;
-    std::uint64_t from = 0;
+    std::optional<std::uint64_t> from; ///< Unset: the newest record of each key.
     core::Duration wait{};
 };
 
@@ -33,7 +37,8 @@
 {
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(request.wait);
     return std::string(relayPathPrefix) + request.partition.topic + '/'
-            + std::to_string(request.partition.index) + "?from=" + std::to_string(request.from)
+            + std::to_string(request.partition.index)
+            + "?from=" + (request.from ? std::to_string(*request.from) : "")
             + "&wait=" + std::to_string(wait.count());
 }
 
@@ -50,26 +55,32 @@
         return std::nullopt;
     constexpr std::size_t parameterSize = 6; // Of "?from=" and "&wait=".
     const auto part = core::parseUnsigned(target.substr(slash + 1, from - slash - 1));
-    const auto offset =
-            core::parseUnsigned(target.substr(from + parameterSize, wait - from - parameterSize));
+    const std::string_view offsetText =
+            target.substr(from + parameterSize, wait - from - parameterSize);
+    const auto offset = core::parseUnsigned(offsetText);
     const auto milliseconds = core::parseUnsigned(target.substr(wait + parameterSize));
-    if (!part || !offset || !milliseconds)
+    if (!part || *part > maxPartitionIndex || (!offset && !offsetText.empty()) || !milliseconds)
         return std::nullopt;
     ReadRequest request;
     request.partition = {std::string(target.substr(0, slash)), static_cast<unsigned>(*part)};
-    request.from = *offset;
-    request.wait = std::chrono::milliseconds(*milliseconds);
+    request.from = offset;
+    request.wait = std::chrono::milliseconds(std::min(*milliseconds, maxWaitMilliseconds));
     return request;
 }
 
-core::HttpResponse makeBatchResponse(const Batch &batch)
+core::HttpResponse makeRecordsResponse(const std::vector<Record> &records, std::uint64_t end)
 {
     core::HttpResponse response =
-            core::makeResponse(statusOk, encodeRecords(batch.records), "application/octet-stream");
-    core::setHeader(response.headers, endHeader, std::to_string(batch.nextOffset));
+            core::makeResponse(statusOk, encodeRecords(records), "application/octet-stream");
+    core::setHeader(response.headers, endHeader, std::to_string(end));
     return response;
 }
 
+core::HttpResponse makeBatchResponse(const Batch &batch)
+{
+    return makeRecordsResponse(batch.records, batch.nextOffset);
+}
+
 class PeerRelay : public Relay, public std::enable_shared_from_this<PeerRelay>
 {
 public:
@@ -84,7 +95,17 @@
 
     void readNewest(const Partition &partition, Handler<Snapshot> handler) override
     {
-        this->store.readNewest(partition, std::move(handler));
+        const membership::Member relay = this->relay();
+        if (this->isSelf(relay) || this->clock.now() < this->directUntil.load())
+            return this->readNewestDirect(partition, std::move(handler));
+        this->readFromRelay(relay, {partition, std::nullopt, this->options.maxNewestWait},
+                            [self = this->shared_from_this(), partition,
+                             handler = std::move(handler)](std::optional<Batch> batch) mutable {
+                                if (!batch)
+                                    return self->readNewestDirect(partition, std::move(handler));
+                                handler(Snapshot{std::move(batch->records), batch->nextOffset, 0,
+                                                 batch->maxAge});
+                            });
     }
 
     void read(const Partition &partition, std::uint64_t from, core::Duration wait,
@@ -127,7 +148,10 @@
             respond(core::makeResponse(statusNotFound, "{}"));
             return nullptr;
         }
-        this->serve(*readRequest, respond);
+        if (readRequest->from)
+            this->serve(*readRequest, *readRequest->from, respond);
+        else
+            this->serveNewest(readRequest->partition, respond);
         return nullptr;
     }
 
@@ -146,6 +170,9 @@
         core::TimePoint lastReadAt{};       ///< Start of the newest read; may be in the future.
         core::TimePoint storeRespondedAt{}; ///< When the store last responded to a read.
         std::map<std::uint64_t, WaitingRead> waitingReads;
+        NewestRecords newest;
+        std::vector<core::ResponseHandler> waitingForNewest; ///< Requests of other instances.
+        bool readingNewest = false; ///< A read for `waitingForNewest` is in progress.
     };
 
     membership::Member relay() const { return this->members.selectRelay(this->clock.now()); }
@@ -179,6 +206,63 @@
                              });
     }
 
+    void readNewestDirect(const Partition &partition, Handler<Snapshot> handler)
+    {
+        this->store.readNewest(partition,
+                               [self = this->shared_from_this(), partition,
+                                handler = std::move(handler)](core::Outcome<Snapshot> snapshot) {
+                                   self->onNewestRead(partition, snapshot);
+                                   handler(std::move(snapshot));
+                               });
+    }
+
+    void onNewestRead(const Partition &partition, const core::Outcome<Snapshot> &snapshot)
+    {
+        std::vector<core::ResponseHandler> waiting;
+        std::vector<Record> records;
+        std::uint64_t end = 0;
+        {
+            std::lock_guard lock(this->mutex);
+            PartitionState &state = this->findOrAddPartition(partition);
+            state.readingNewest = false;
+            waiting = std::exchange(state.waitingForNewest, {});
+            if (snapshot) {
+                state.newest.reset(*snapshot);
+                state.tail.initialise(snapshot->nextOffset);
+                state.storeRespondedAt = this->clock.uptime();
+            }
+            if (snapshot && !waiting.empty()) {
+                records = state.newest.records();
+                end = state.newest.end();
+            }
+        }
+        for (const core::ResponseHandler &respond : waiting)
+            respond(snapshot ? makeRecordsResponse(records, end)
+                             : core::makeResponse(statusUnavailable, "{}"));
+    }
+
+    // Answers another instance's read of the newest records; reads the store first if what is held
+    // may be outdated.
+    void serveNewest(const Partition &partition, const core::ResponseHandler &respond)
+    {
+        std::optional<core::HttpResponse> response;
+        bool read = false;
+        {
+            std::lock_guard lock(this->mutex);
+            PartitionState &state = this->findOrAddPartition(partition);
+            if (state.newest.isValid() && !this->isStale(state)) {
+                response = makeRecordsResponse(state.newest.records(), state.newest.end());
+            } else {
+                state.waitingForNewest.push_back(respond);
+                read = !std::exchange(state.readingNewest, true);
+            }
+        }
+        if (response)
+            return respond(std::move(*response));
+        if (read)
+            this->readNewestDirect(partition, [](const core::Outcome<Snapshot> &) {});
+    }
+
     // Reads from the relay; calls `done` with nullopt if the store has to be read instead.
     void readFromRelay(const membership::Member &relay, const ReadRequest &readRequest,
                        std::function<void(std::optional<Batch>)> done)
@@ -188,13 +272,43 @@
         request.target = formatTarget(readRequest);
         this->peers.send(relay.peer, std::move(request),
                          readRequest.wait + this->options.responseMargin,
-                         [self = this->shared_from_this(), relay,
+                         [self = this->shared_from_this(), relay, readRequest,
                           done = std::move(done)](core::Outcome<core::HttpResponse> outcome) {
-                             self->onRelayResponse(relay, std::move(outcome), done);
+                             self->onRelayResponse(relay, readRequest, std::move(outcome), done);
                          });
     }
 
-    void onRelayResponse(const membership::Member &relay, core::Outcome<core::HttpResponse> outcome,
+    // The instance that is selected here doesn't relay. Asks the selected one again for a short
+    // time, in which the lists of members usually agree, then reads the store directly.
+    void onDisagreement(const ReadRequest &readRequest,
+                        const std::function<void(std::optional<Batch>)> &done)
+    {
+        const core::TimePoint now = this->clock.now();
+        bool retry = false;
+        {
+            std::lock_guard lock(this->mutex);
+            if (now >= this->disagreementStart + this->options.disagreementPeriod)
+                this->disagreementStart = now;
+            retry = now < this->disagreementStart + this->options.disagreementTime;
+        }
+        if (!retry) {
+            this->directUntil = now + this->options.directReadTime;
+            return done(std::nullopt);
+        }
+        this->clock.schedule(now + this->options.disagreementRetry,
+                             [weak = this->weak_from_this(), readRequest, done] {
+                                 const auto self = weak.lock();
+                                 if (!self)
+                                     return;
+                                 const membership::Member relay = self->relay();
+                                 if (self->isSelf(relay))
+                                     return done(std::nullopt);
+                                 self->readFromRelay(relay, readRequest, done);
+                             });
+    }
+
+    void onRelayResponse(const membership::Member &relay, const ReadRequest &readRequest,
+                         core::Outcome<core::HttpResponse> outcome,
                          const std::function<void(std::optional<Batch>)> &done)
     {
         if (!outcome) {
@@ -207,12 +321,14 @@
         }
         const auto endText = core::findHeader(outcome->headers, endHeader);
         const auto end = endText ? core::parseUnsigned(*endText) : std::nullopt;
+        if (outcome->status == statusNotFound)
+            return this->onDisagreement(readRequest, done);
         if (outcome->status != statusOk || !end) {
             this->directUntil = this->clock.now() + this->options.directReadTime;
             return done(std::nullopt);
         }
         core::readWholeBody(outcome->body, maxBodyBytes,
-                            [self = this->shared_from_this(), relay, done,
+                            [self = this->shared_from_this(), relay, readRequest, done,
                              end = *end](core::Outcome<std::string> body) {
                                 auto records = body
                                         ? decodeRecords(*body)
@@ -225,10 +341,23 @@
                                 batch.records = std::move(*records);
                                 batch.nextOffset = end;
                                 batch.maxAge = self->options.maxStaleness;
+                                self->keepTail(readRequest, batch);
                                 done(std::move(batch));
                             });
     }
 
+    // Keeps what was relayed: the instance that takes over as relay can then serve the others from
+    // the offsets that they have reached.
+    void keepTail(const ReadRequest &readRequest, const Batch &batch)
+    {
+        std::lock_guard lock(this->mutex);
+        PartitionState &state = this->findOrAddPartition(readRequest.partition);
+        if (readRequest.from)
+            state.tail.add(*readRequest.from, batch);
+        else
+            state.tail.initialise(batch.nextOffset);
+    }
+
     void handleRelayLoss(const membership::Member &relay, const std::string &reason)
     {
         this->members.suspect(membership::InstanceRole::Relay, relay.name, this->clock.now());
@@ -246,6 +375,7 @@
             const bool usable = outcome && !outcome->expired;
             if (usable) {
                 state.tail.add(from, *outcome);
+                state.newest.apply(from, *outcome);
                 state.storeRespondedAt = this->clock.uptime();
             }
             for (auto entry = state.waitingReads.begin(); entry != state.waitingReads.end();) {
@@ -265,27 +395,29 @@
             respond(std::move(response));
     }
 
-    void serve(const ReadRequest &readRequest, const core::ResponseHandler &respond)
+    void serve(const ReadRequest &readRequest, std::uint64_t from,
+               const core::ResponseHandler &respond)
     {
         const core::TimePoint now = this->clock.now();
-        core::HttpResponse response = core::makeResponse(statusNotFound, "{}");
+        core::HttpResponse response = core::makeResponse(statusGone, "{}");
         core::Duration wait = std::min(readRequest.wait, this->options.maxWait);
         std::uint64_t id = 0;
         {
             std::lock_guard lock(this->mutex);
             PartitionState &state = this->findOrAddPartition(readRequest.partition);
-            const auto batch = state.tail.readFrom(readRequest.from);
-            if (batch && this->isStale(state)) {
+            const auto batch = state.tail.readFrom(from);
+            const bool ahead = state.tail.isBehind(from); // Of this instance's own reads.
+            if ((batch || ahead) && this->isStale(state)) {
                 response = core::makeResponse(statusUnavailable, "{}");
-            } else if (batch && batch->nextOffset > readRequest.from) {
+            } else if (batch && batch->nextOffset > from) {
                 response = makeBatchResponse(*batch);
-            } else if (batch) {
+            } else if (batch || ahead) {
                 id = ++this->lastWaitingId;
                 // If the store is lost meanwhile, the read fails as soon as the tail becomes stale.
                 wait = std::min(wait,
                                 state.storeRespondedAt + this->options.maxStaleness + staleMargin
                                         - this->clock.uptime());
-                state.waitingReads.emplace(id, WaitingRead{readRequest.from, respond});
+                state.waitingReads.emplace(id, WaitingRead{from, respond});
             }
         }
         if (id == 0)
@@ -338,6 +470,7 @@
 
     std::mutex mutex; // Leaf lock; guards the members below.
     std::uint64_t lastWaitingId = 0;
+    core::TimePoint disagreementStart{}; ///< Begin of the time in which the relay is asked again.
     std::map<Partition, PartitionState> partitions;
 };
 
