Choose the relay sooner after a start; suspect it after three unanswered messages

Change: seeds are asked every 150 ms; the relay is chosen at once when a seed of the data centre with the most cores answers, else after 0.4 s; the directory is read after 0.6 s without an answer. A relay is suspected for 10 s, after three unanswered messages.

Ruled out: reading the store directly at a restart; 295 instances would make some 2,000 calls at once.

What remains is the relay's read before the others' (0.3 s).

--- a/libs/membership/include/amaranthdale/membership/member_exchange.h
+++ b/libs/membership/include/amaranthdale/membership/member_exchange.h
@@ -49,17 +49,21 @@
     /// over two relays.
     core::Duration lifetime = std::chrono::seconds(9);
     core::Duration heartbeatInterval = std::chrono::milliseconds(1500);
-    /// Interval after the start, and for how long it applies: all instances may start at once.
+    /// Interval of the requests to the seeds.
+    core::Duration seedInterval = std::chrono::milliseconds(150);
+    /// The relay is chosen this long after the start, when the seeds have heard most instances that
+    /// started at the same time. After a loss of all instances, callers wait for it.
+    core::Duration settleTime = std::chrono::milliseconds(400);
+    /// Interval once the relay is chosen, and until when after the start: all instances may start
+    /// at once.
     core::Duration startupInterval = std::chrono::milliseconds(400);
     core::Duration startupTime = std::chrono::milliseconds(2500);
-    /// The relay is chosen this long after the start, when the seeds have heard every instance that
-    /// started at the same time.
-    core::Duration settleTime = std::chrono::milliseconds(1000);
     /// An instance that no other has answered for this long looks into the contact directory; once
-    /// more after each further period.
+    /// more after each further period. Shorter while it starts.
     core::Duration isolationTime = std::chrono::milliseconds(1500);
+    core::Duration startupIsolationTime = std::chrono::milliseconds(600);
     /// An instance that finds nobody in the directory either acts alone from then on.
-    core::Duration lonelyStartTime = std::chrono::milliseconds(3000);
+    core::Duration lonelyStartTime = std::chrono::milliseconds(1500);
     core::Duration publishInterval = std::chrono::milliseconds(2500);
     /// How often a relay reads the directory, to find groups of instances that don't know each
     /// other.
@@ -98,9 +102,10 @@
     void onContacts(std::optional<std::vector<Member>> contacts);
     void settle(core::TimePoint now);
     void send(const core::Endpoint &peer, std::function<void(bool)> done);
-    void sendToMember(const Member &member);
+    void sendToMember(const Member &member, unsigned attempt);
     void onReply(core::Outcome<core::HttpResponse> outcome, core::TimePoint sentAt,
                  const std::function<void(bool)> &done);
+    bool knowsSeedAsRelay(core::TimePoint now) const;
     bool confirm(const std::string &body, core::TimePoint sentAt);
     void mergeReports(const std::string &body, core::TimePoint sentAt);
     void publishMembers();
--- a/libs/membership/include/amaranthdale/membership/members.h
+++ b/libs/membership/include/amaranthdale/membership/members.h
@@ -35,9 +35,9 @@
     /// An instance that did not answer a message gets no task for this period, doubled with each
     /// repetition. It is short, as most missing answers are lost datagrams or short pauses.
     core::Duration suspicion = std::chrono::seconds(1);
-    /// The same for a relay, whose connections don't lose messages: a shorter one would let a dead
-    /// relay be selected again before it leaves the list.
-    core::Duration relaySuspicion = std::chrono::seconds(4);
+    /// The same for a relay, whose connections don't lose messages. Longer than a dead member stays
+    /// in the list, or it would be selected again.
+    core::Duration relaySuspicion = std::chrono::seconds(10);
     core::Duration maxSuspicion = std::chrono::seconds(16);
     /// The instance count decreases only after this period: instances that are cut off from this
     /// one are missing from the list but continue to send requests.
--- a/libs/membership/src/member_exchange.cpp
+++ b/libs/membership/src/member_exchange.cpp
@@ -24,6 +24,9 @@
 // Reports in one heartbeat; the rest follows with the next ones.
 constexpr std::size_t maxHeartbeatReports = 64;
 
+// Messages may be lost; a member is suspected after this many that it left unanswered in a row.
+constexpr unsigned maxUnanswered = 3;
+
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 
@@ -56,14 +59,15 @@
     if (this->leaving)
         return;
     const core::TimePoint now = this->clock.uptime();
-    bool starting = false;
+    this->heartbeat(now);
+    core::Duration interval = this->options.heartbeatInterval;
     {
         std::lock_guard lock(this->mutex);
-        starting = !this->settled || now - this->startedAt < this->options.startupTime;
+        if (!this->settled)
+            interval = this->options.seedInterval;
+        else if (now - this->startedAt < this->options.startupTime)
+            interval = this->options.startupInterval;
     }
-    this->heartbeat(now);
-    const core::Duration interval =
-            starting ? this->options.startupInterval : this->options.heartbeatInterval;
     this->clock.schedule(this->clock.now() + interval, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
             self->onTimer();
@@ -89,7 +93,9 @@
         lonely = !heardOthers && now - this->startedAt >= this->options.lonelyStartTime;
         afterSettleTime = heardOthers && now - this->startedAt >= this->options.settleTime;
         readDue = relay && now - this->directoryReadAt >= this->options.directoryReadInterval;
-        readDue = readDue || now - since >= this->options.isolationTime;
+        readDue = readDue
+                || now - since >= (this->settled ? this->options.isolationTime
+                                                 : this->options.startupIsolationTime);
         if (readDue)
             this->directoryReadAt = now;
     }
@@ -137,12 +143,12 @@
 void MemberExchange::exchangeWithRelays()
 {
     if (!this->isRelay())
-        return this->sendToMember(this->members.selectRelay(this->clock.now()));
+        return this->sendToMember(this->members.selectRelay(this->clock.now()), 1);
     for (const core::DataCentreName &dataCentre : this->members.dataCentres()) {
         if (dataCentre == this->members.self().dataCentre)
             continue;
         if (const auto relay = this->members.selectRelayOf(dataCentre, this->clock.now()))
-            this->sendToMember(*relay);
+            this->sendToMember(*relay, 1);
     }
 }
 
@@ -161,22 +167,18 @@
     return reports;
 }
 
-// A single message may be lost; the member is suspected if the second one is unanswered, too.
-void MemberExchange::sendToMember(const Member &member)
+void MemberExchange::sendToMember(const Member &member, unsigned attempt)
 {
-    this->send(member.peer, [weak = this->weak_from_this(), member](bool answered) {
+    this->send(member.peer, [weak = this->weak_from_this(), member, attempt](bool answered) {
         const auto self = weak.lock();
         if (!self || answered)
             return;
-        self->send(member.peer, [weak, name = member.name](bool answeredAgain) {
-            const auto owner = weak.lock();
-            if (!owner || answeredAgain)
-                return;
-            // The next heartbeat goes to the member that takes over.
-            owner->members.suspect(InstanceRole::Relay, name, owner->clock.now());
-            owner->events.write(log::Severity::Warning, "heartbeat-unanswered",
-                                {{"relay", name.value}});
-        });
+        if (attempt < maxUnanswered)
+            return self->sendToMember(member, attempt + 1);
+        // The next heartbeat goes to the member that takes over.
+        self->members.suspect(InstanceRole::Relay, member.name, self->clock.now());
+        self->events.write(log::Severity::Warning, "heartbeat-unanswered",
+                           {{"relay", member.name.value}});
     });
 }
 
@@ -225,6 +227,23 @@
                         });
 }
 
+// True if a seed is a member of this data centre with as many cores as any known member: it is a
+// relay already, or about to be one.
+bool MemberExchange::knowsSeedAsRelay(core::TimePoint now) const
+{
+    const auto known = this->table.alive(now);
+    double maxCores = 0;
+    for (const Member &member : known)
+        maxCores = std::max(maxCores, member.cores);
+    return std::any_of(known.begin(), known.end(), [&](const Member &member) {
+        const bool isSeed =
+                std::find(this->seedEndpoints.begin(), this->seedEndpoints.end(), member.peer)
+                != this->seedEndpoints.end();
+        return isSeed && member.cores >= maxCores
+                && member.dataCentre == this->members.self().dataCentre;
+    });
+}
+
 bool MemberExchange::confirm(const std::string &body, core::TimePoint sentAt)
 {
     auto ages = parseAges(body);
@@ -249,12 +268,16 @@
         report.age += now - sentAt;
     reports.push_back(this->ownReport());
     bool inUse = false;
+    bool relayKnown = false;
     {
         std::lock_guard lock(this->mutex);
         this->answeredAt = now;
         this->table.merge(reports, now);
         inUse = this->settled;
+        relayKnown = !inUse && this->knowsSeedAsRelay(now);
     }
+    if (relayKnown)
+        this->settle(now);
     if (malformed > 0)
         this->events.write(log::Severity::Warning, "member-unreadable",
                            {{"lines", std::to_string(malformed)}});
