--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -46,7 +46,6 @@
     bool tryTakeRetry(bool mayHaveRun);
     void retryOrRefuse(const char *reason);
     void endAttempt(balance::AttemptResult result);
-    void passOn(core::HttpResponse response);
     void refuse(core::Duration retryAfter, const std::string &reason);
     void fail(unsigned status, const std::string &reason);
     void finish(core::HttpResponse response, const char *outcome, const std::string &reason);
--- a/libs/membership/tests/member_exchange_test.cpp
+++ b/libs/membership/tests/member_exchange_test.cpp
@@ -226,11 +226,12 @@
     MESSAGE("agreeing after 13 s: " << simulation.agreeing());
     const std::uint64_t messages = simulation.messages;
     const std::uint64_t bytes = simulation.bytes;
-    constexpr unsigned calmSeconds = 20;
-    simulation.advance(seconds(calmSeconds));
+    constexpr std::chrono::duration<double> calmTime = seconds(20);
+    simulation.advance(seconds(20));
     MESSAGE("calm, per instance and second: messages "
-            << static_cast<double>(simulation.messages - messages) / calmSeconds / 1500
-            << ", bytes " << static_cast<double>(simulation.bytes - bytes) / calmSeconds / 1500);
+            << static_cast<double>(simulation.messages - messages) / calmTime.count() / 1500
+            << ", bytes "
+            << static_cast<double>(simulation.bytes - bytes) / calmTime.count() / 1500);
     CHECK(simulation.agreeing() >= 1425);
     simulation.kill(0);
     simulation.advance(seconds(3));
