Collect heartbeats apart from reading the store; an expired read restarts from the relay

The relays couldn't answer waiting reads, said that they had lost the store (503), and were suspected by their data centres (163 relay-lost in the first second), which then sent their heartbeats to other members as well.

Change: the role Collector is suspected only for unanswered heartbeats, the role Relay also for failed reads. A relay whose read or tail has expired says so (410); the instance reads the newest records through the relay, which holds them, instead of going to the store.

--- a/libs/membership/include/amaranthdale/membership/member_exchange.h
+++ b/libs/membership/include/amaranthdale/membership/member_exchange.h
@@ -97,7 +97,7 @@
     void onTimer();
     void heartbeat(core::TimePoint now);
     void contactSeeds();
-    void exchangeWithRelays();
+    void exchangeTables();
     void readDirectory();
     void onContacts(std::optional<std::vector<Member>> contacts);
     void settle(core::TimePoint now);
@@ -112,7 +112,8 @@
     void updatePublication(core::TimePoint now);
     std::vector<MemberReport> heartbeatReports(core::TimePoint now) const;
     MemberReport ownReport() const { return {this->members.self(), {}, this->leaving}; }
-    bool isRelay() const;
+    Member ownCollector() const;
+    bool isCollector() const;
 
     core::HttpSender &sender;
     ContactDirectory &directory;
--- a/libs/membership/include/amaranthdale/membership/members.h
+++ b/libs/membership/include/amaranthdale/membership/members.h
@@ -25,8 +25,9 @@
 
 /// Role of an instance for other instances. Failures are tracked for each role separately.
 enum class InstanceRole {
-    Relay, ///< Reads the store for the instances of its data centre.
-    Slots, ///< Allocates request slots.
+    Relay,     ///< Reads the store for the instances of its data centre.
+    Collector, ///< Receives the heartbeats of its data centre; the same member, unless suspected.
+    Slots,     ///< Allocates request slots.
 };
 
 /// Periods for which observations of other instances are used.
@@ -67,9 +68,11 @@
     /// relay. Ties are broken by name.
     Member selectRelay(core::TimePoint now) const;
 
-    /// The same for any data centre, without `excluded`. Nothing if it has no such member.
-    std::optional<Member> selectRelayOf(const core::DataCentreName &dataCentre, core::TimePoint now,
-                                        const core::InstanceName &excluded = {}) const;
+    /// The same for any data centre and a role of it, without `excluded`. Nothing if it has no such
+    /// member.
+    std::optional<Member> selectFor(InstanceRole role, const core::DataCentreName &dataCentre,
+                                    core::TimePoint now,
+                                    const core::InstanceName &excluded = {}) const;
 
     /// The member that allocates the slots of `task`, in `dataCentre` if it is given. It is
     /// selected from the members with the most cores by rendezvous hashing weighted by cores, so
--- a/libs/membership/src/member_exchange.cpp
+++ b/libs/membership/src/member_exchange.cpp
@@ -80,7 +80,7 @@
     bool readDue = false;
     bool lonely = false;
     bool afterSettleTime = false;
-    const bool relay = this->isRelay();
+    const bool relay = this->isCollector();
     {
         std::lock_guard lock(this->mutex);
         this->table.merge({this->ownReport()}, now);
@@ -109,7 +109,7 @@
         return this->contactSeeds();
     this->publishMembers();
     this->updatePublication(now);
-    this->exchangeWithRelays();
+    this->exchangeTables();
 }
 
 void MemberExchange::contactSeeds()
@@ -134,21 +134,30 @@
     this->publishMembers();
 }
 
-bool MemberExchange::isRelay() const
+// A relay that is suspected because it lost the store still collects heartbeats: if its data centre
+// went to another member for both, the tables of the relays would lack that data centre.
+bool MemberExchange::isCollector() const
 {
-    return this->members.hasList()
-            && this->members.selectRelay(this->clock.now()).name == this->members.self().name;
+    return this->members.hasList() && this->ownCollector().name == this->members.self().name;
 }
 
-void MemberExchange::exchangeWithRelays()
+Member MemberExchange::ownCollector() const
 {
-    if (!this->isRelay())
-        return this->sendToMember(this->members.selectRelay(this->clock.now()), 1);
+    const Member &self = this->members.self();
+    return this->members.selectFor(InstanceRole::Collector, self.dataCentre, this->clock.now())
+            .value_or(self);
+}
+
+void MemberExchange::exchangeTables()
+{
+    if (!this->isCollector())
+        return this->sendToMember(this->ownCollector(), 1);
     for (const core::DataCentreName &dataCentre : this->members.dataCentres()) {
         if (dataCentre == this->members.self().dataCentre)
             continue;
-        if (const auto relay = this->members.selectRelayOf(dataCentre, this->clock.now()))
-            this->sendToMember(*relay, 1);
+        if (const auto collector =
+                    this->members.selectFor(InstanceRole::Collector, dataCentre, this->clock.now()))
+            this->sendToMember(*collector, 1);
     }
 }
 
@@ -176,9 +185,10 @@
         if (attempt < maxUnanswered)
             return self->sendToMember(member, attempt + 1);
         // The next heartbeat goes to the member that takes over.
-        self->members.suspect(InstanceRole::Relay, member.name, self->clock.now());
+        for (const InstanceRole role : {InstanceRole::Collector, InstanceRole::Relay})
+            self->members.suspect(role, member.name, self->clock.now());
         self->events.write(log::Severity::Warning, "heartbeat-unanswered",
-                           {{"relay", member.name.value}});
+                           {{"member", member.name.value}});
     });
 }
 
@@ -187,7 +197,7 @@
     core::HttpRequest request;
     request.method = "POST";
     request.target = std::string(membersTarget);
-    const bool relay = this->isRelay();
+    const bool relay = this->isCollector();
     {
         const core::TimePoint now = this->clock.uptime();
         std::lock_guard lock(this->mutex);
@@ -316,7 +326,7 @@
 // Keeps this instance in the directory while it is a relay.
 void MemberExchange::updatePublication(core::TimePoint now)
 {
-    const bool relay = this->isRelay();
+    const bool relay = this->isCollector();
     bool publish = false;
     bool withdraw = false;
     {
@@ -407,7 +417,7 @@
 void MemberExchange::leave()
 {
     const core::TimePoint now = this->clock.uptime();
-    const bool relay = this->isRelay();
+    const bool relay = this->isCollector();
     this->leaving = true;
     bool wasPublished = false;
     {
@@ -420,8 +430,8 @@
     // The relay of this data centre passes it on; a relay that stops tells the next one as well.
     for (const core::DataCentreName &dataCentre : this->members.dataCentres()) {
         const bool own = dataCentre == this->members.self().dataCentre;
-        const auto next = this->members.selectRelayOf(dataCentre, this->clock.now(),
-                                                      this->members.self().name);
+        const auto next = this->members.selectFor(InstanceRole::Collector, dataCentre,
+                                                  this->clock.now(), this->members.self().name);
         if (next && (own || relay))
             this->send(next->peer, [](bool) {});
     }
--- a/libs/membership/src/members.cpp
+++ b/libs/membership/src/members.cpp
@@ -75,7 +75,7 @@
         const bool repeated = suspicion.length > core::Duration::zero()
                 && now < suspicion.until + suspicion.length;
         const core::Duration first =
-                role == InstanceRole::Relay ? this->limits.relaySuspicion : this->limits.suspicion;
+                role != InstanceRole::Slots ? this->limits.relaySuspicion : this->limits.suspicion;
         suspicion.length =
                 repeated ? std::min(2 * suspicion.length, this->limits.maxSuspicion) : first;
         suspicion.until = now + suspicion.length;
@@ -85,18 +85,18 @@
 // This instance is never suspected, so its own data centre always has a relay.
 Member Members::selectRelay(core::TimePoint now) const
 {
-    return this->selectRelayOf(this->own.dataCentre, now).value_or(this->own);
+    return this->selectFor(InstanceRole::Relay, this->own.dataCentre, now).value_or(this->own);
 }
 
-std::optional<Member> Members::selectRelayOf(const core::DataCentreName &dataCentre,
-                                             core::TimePoint now,
-                                             const core::InstanceName &excluded) const
+std::optional<Member> Members::selectFor(InstanceRole role, const core::DataCentreName &dataCentre,
+                                         core::TimePoint now,
+                                         const core::InstanceName &excluded) const
 {
     return this->state.with([&](const State &current) -> std::optional<Member> {
         const Member *relay = nullptr;
         for (const Member &member : current.members) {
             if (member.dataCentre != dataCentre || member.name == excluded
-                || this->isSuspected(current.suspicions, InstanceRole::Relay, member, now))
+                || this->isSuspected(current.suspicions, role, member, now))
                 continue;
             const bool better = relay == nullptr || member.cores > relay->cores
                     || (member.cores == relay->cores && member.name < relay->name);
--- a/libs/membership/tests/exchange_simulation.h
+++ b/libs/membership/tests/exchange_simulation.h
@@ -45,6 +45,7 @@
     void kill(unsigned index);
     void leave(unsigned index);
     void advance(core::Duration duration);
+    Members &membersOf(unsigned index) { return *this->nodes[index].members; }
 
     /// Cuts all links between two data centres, in both directions or from the first to the second.
     void cut(unsigned from, unsigned to, bool bothWays = true);
--- a/libs/membership/tests/member_exchange_test.cpp
+++ b/libs/membership/tests/member_exchange_test.cpp
@@ -105,6 +105,31 @@
     }
 }
 
+// On a day on which the store forgot its history, the relays could not serve a read and were
+// suspected. Their data centres sent the heartbeats elsewhere, and 9 s later every list lacked the
+// other data centres: common budgets were divided by 29 instead of 87.
+TEST_CASE("lists stay complete while relays are suspected because of the store")
+{
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        SimulationOptions options;
+        options.instances = 60;
+        options.seed = seed;
+        Simulation simulation(options);
+        simulation.startAll();
+        simulation.advance(seconds(5));
+        for (unsigned second = 0; second < 30; ++second) {
+            for (unsigned index = 0; index < options.instances; ++index) {
+                Members &members = simulation.membersOf(index);
+                members.suspect(InstanceRole::Relay,
+                                members.selectRelay(simulation.clock.now()).name,
+                                simulation.clock.now());
+            }
+            simulation.advance(seconds(1));
+            CHECK(simulation.agreeing() == options.instances);
+        }
+    }
+}
+
 TEST_CASE("an instance that leaves disappears from all lists within two heartbeats over the relays")
 {
     unsigned leaver = 29;
--- a/libs/relay/include/amaranthdale/relay/relay.h
+++ b/libs/relay/include/amaranthdale/relay/relay.h
@@ -1,9 +1,11 @@
 // Relay through which one instance of each data centre reads the store for the others.
 //
-// GET /records/TOPIC/PART?from=OFFSET&wait=MILLISECONDS, between instances; without `from`, the
-// newest record of each key is meant: 200: `End` is the offset to continue reading from; the body
-// holds the records (record_codec.h). 404: this instance is not a relay. 410: it doesn't hold the
-// offset; read the store instead. 503: this instance has lost contact with the store.
+// GET /records/TOPIC/PART?from=OFFSET&wait=MILLISECONDS, between instances; without an offset, the
+// newest record of each key is meant:
+// 200: `End` is the offset to continue reading from; the body holds the records (record_codec.h).
+// 404: this instance is not a relay.
+// 410: it doesn't hold the offset; read the newest records instead.
+// 503: this instance has lost contact with the store.
 #pragma once
 
 #include "amaranthdale/clock/clock.h"
--- a/libs/relay/src/relay.cpp
+++ b/libs/relay/src/relay.cpp
@@ -323,6 +323,11 @@
         const auto end = endText ? core::parseUnsigned(*endText) : std::nullopt;
         if (outcome->status == statusNotFound)
             return this->onDisagreement(readRequest, done);
+        if (outcome->status == statusGone && readRequest.from) {
+            Batch expired;
+            expired.expired = true;
+            return done(std::move(expired));
+        }
         if (outcome->status != statusOk || !end) {
             this->directUntil = this->clock.now() + this->options.directReadTime;
             return done(std::nullopt);
@@ -373,6 +378,7 @@
             std::lock_guard lock(this->mutex);
             PartitionState &state = this->findOrAddPartition(partition);
             const bool usable = outcome && !outcome->expired;
+            const bool expired = outcome && outcome->expired;
             if (usable) {
                 state.tail.add(from, *outcome);
                 state.newest.apply(from, *outcome);
@@ -385,9 +391,11 @@
                     ++entry;
                     continue;
                 }
-                responses.emplace_back(std::move(entry->second.respond),
-                                       hasNewRecords ? makeBatchResponse(*batch)
-                                                     : core::makeResponse(statusUnavailable, "{}"));
+                responses.emplace_back(
+                        std::move(entry->second.respond),
+                        hasNewRecords ? makeBatchResponse(*batch)
+                                      : core::makeResponse(expired ? statusGone : statusUnavailable,
+                                                           "{}"));
                 entry = state.waitingReads.erase(entry);
             }
         }
