--- a/libs/control/src/peer_protocol.cpp
+++ b/libs/control/src/peer_protocol.cpp
@@ -64,7 +64,8 @@
     while (position != end) {
         keyspace::KeyCount count{};
         const auto key = std::from_chars(position, end, count.first);
-        if (key.ec != std::errc() || key.ptr == end || *key.ptr != ' ')
+        if (key.ec != std::errc() || key.ptr == end || *key.ptr != ' '
+            || count.first >= keyspace::keyCount)
             return std::nullopt;
         const auto number = std::from_chars(key.ptr + 1, end, count.second);
         if (number.ec != std::errc() || number.ptr == end || *number.ptr != '\n')
--- a/libs/control/tests/peer_protocol_test.cpp
+++ b/libs/control/tests/peer_protocol_test.cpp
@@ -2,12 +2,18 @@
 #include "amaranthdale/control/peer_protocol.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
 
 using namespace amaranthdale;
 using namespace amaranthdale::control;
 
 namespace {
 
+// A fixed RapidCheck seed makes the results reproducible.
+const int seedSet = ::setenv("RC_PARAMS", "seed=20261204 max_success=1000", 0);
+
 // Delivers messages directly to a handler.
 class DirectSender : public core::HttpSender
 {
@@ -67,6 +73,32 @@
     CHECK(test.stepDowns == 0);
 }
 
+TEST_CASE("numbers out of range are rejected and arbitrary bodies are handled safely")
+{
+    Fixture test;
+    for (const char *body : {"65536 1\n", "-1 1\n", "5 4294967296\n", "5 -1\n",
+                             "99999999999999999999 1\n", "5 1 \n", "5\n1\n"})
+        CHECK(test.post("/key-counts/stock", body) == 400);
+    CHECK(test.post("/step-down/stock", "18446744073709551616") == 400);
+    CHECK(test.counts.empty());
+    CHECK(rc::check("arbitrary bodies", [](const std::string &target, const std::string &body) {
+        Fixture random;
+        for (const std::string &prefix : {std::string("/key-counts/"), std::string("/step-down/")})
+            random.post(prefix + target, body);
+        random.post(target, body);
+        RC_ASSERT(random.stepDowns == 0 || body.find('7') != std::string::npos);
+    }));
+    CHECK(rc::check("key counts with one byte changed", [] {
+        std::string body = "5 2\n65535 1\n700 4294967295\n";
+        const auto position = *rc::gen::inRange<std::size_t>(0, body.size());
+        body[position] = *rc::gen::arbitrary<char>();
+        Fixture random;
+        random.post("/key-counts/stock", body);
+        for (const auto &[key, count] : random.counts)
+            RC_ASSERT(key < keyspace::keyCount);
+    }));
+}
+
 TEST_CASE("the named granter steps down, and a later process confirms for an earlier one")
 {
     Fixture test;
--- a/libs/slots/tests/messages_test.cpp
+++ b/libs/slots/tests/messages_test.cpp
@@ -74,6 +74,20 @@
     CHECK(std::get<SlotGranted>(granted->content).server.value == "i");
 }
 
+TEST_CASE("numbers of a load report beyond any load are clamped")
+{
+    SlotRelease release;
+    release.report = balance::LoadReport{4'000'000'000, 4'000'000'000, 4'000'000'000, 4e7};
+    const auto decoded = decodeSlotMessage(encodeSlotMessage({1, release}));
+    REQUIRE(decoded);
+    const auto &report = std::get<SlotRelease>(decoded->content).report;
+    REQUIRE(report);
+    CHECK(report->running == 1'000'000);
+    CHECK(report->waiting == 1'000'000);
+    CHECK(report->slots == 1'000'000);
+    CHECK(report->slowdown == doctest::Approx(10'000));
+}
+
 TEST_CASE("truncated messages are rejected and arbitrary bytes are handled safely")
 {
     const std::string whole = encodeSlotMessage({3, SlotGranted{core::ServerName("server")}});
