--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -3,8 +3,9 @@
 # amaranthdale_library(NAME DEPENDS lib... LINK system... PCH header...)
 # Builds the library amaranthdale_NAME from src/*.cpp of the current folder, and the test program
 # test_NAME from tests/*.cpp. The library is header-only if src has no sources.
+# TEST_EXCLUDE names test cases that the CTest entry NAME skips, because they have their own entry.
 function(amaranthdale_library name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK;PCH;TEST_LINK" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK;PCH;TEST_LINK;TEST_EXCLUDE" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS src/*.cpp src/generated/*.cc)
   set(target amaranthdale_${name})
   if(sources)
@@ -28,7 +29,11 @@
     add_executable(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE ${target} rapidcheck ${ARG_TEST_LINK})
     target_include_directories(test_${name} PRIVATE src tests)
-    add_test(NAME ${name} COMMAND test_${name})
+    set(exclude)
+    if(ARG_TEST_EXCLUDE)
+      set(exclude "--test-case-exclude=${ARG_TEST_EXCLUDE}")
+    endif()
+    add_test(NAME ${name} COMMAND test_${name} ${exclude})
     set_tests_properties(${name} PROPERTIES TIMEOUT 120)
   endif()
 endfunction()
