--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -403,6 +404,12 @@
             writer.transport.abort()
 
 
+def end_with_parent():
+    """Runs in a new process: it gets SIGKILL if the case ends without ending it."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 class Edge:
     """A process of the edge, started with the deploy file's command."""
 
@@ -447,7 +454,7 @@
         environment["AMARANTHDALE_NODE_FILE"] = path
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(ROOT, command[0]), *command[1:], cwd=ROOT, env=environment,
-            stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+            stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=end_with_parent)
         self.world.record.write(f"{self.name} started")
 
     def send_signal(self, number):
