--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -98,6 +98,7 @@
     Headers headers;
     std::optional<std::uint64_t> contentLength; ///< Bytes; unset if not known in advance.
     std::shared_ptr<BodyReader> body;           ///< Never null.
+    unsigned skippedResponses = 0;              ///< Responses to other requests that preceded it.
 };
 
 /// A response with a complete body of type `contentType`.
--- a/libs/gateway/include/amaranthdale/gateway/wire_format.h
+++ b/libs/gateway/include/amaranthdale/gateway/wire_format.h
@@ -34,6 +34,7 @@
 {
     ResponseClass responseClass = ResponseClass::Invalid;
     std::optional<balance::LoadReport> load;
+    bool identified = true;              ///< Names the request that it responds to.
     bool serverLeaving = false;          ///< The server is shutting down.
     std::optional<core::Duration> pause; ///< The server wants no requests for this long.
 };
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -289,6 +289,7 @@
     this->serverIncarnation = target.incarnation;
     this->sentAt = this->gateway.clock.now();
     this->loadReport.reset();
+    this->reportSend(target);
     const core::Duration time = this->timeLeft();
     core::HttpRequest message =
             this->gateway.wireFormat.encodeForServer(this->request, target.name, time);
@@ -310,6 +311,59 @@
     this->exchange = std::move(started);
 }
 
+// Reports what this instance knew when it sent to a cold server or sent a request again.
+void ActiveRequest::reportSend(const catalog::BackendServer &target)
+{
+    bool hasSlot = false;
+    {
+        std::lock_guard lock(this->mutex);
+        hasSlot = this->slotTicket.has_value();
+    }
+    const char *source = hasSlot ? "slot" : "local";
+    if (target.coldUntil > this->sentAt) {
+        this->gateway.stats.count("cold_server_sends_total",
+                                  std::string("source=\"") + source + "\"");
+        this->gateway.events.write(log::Severity::Info, "cold-server-send",
+                                   {{"request", this->request.id.value},
+                                    {"service", this->service.value},
+                                    {"server", target.name.value},
+                                    {"source", source},
+                                    {"coldLeft", formatSeconds(target.coldUntil - this->sentAt)}});
+    }
+    if (this->lastServer.empty())
+        return;
+    this->gateway.stats.count("resends_total", std::string("source=\"") + source + "\"");
+    this->gateway.events.write(log::Severity::Info, "request-resent",
+                               {{"request", this->request.id.value},
+                                {"service", this->service.value},
+                                {"server", target.name.value},
+                                {"previous", this->lastServer.value},
+                                {"source", source},
+                                {"sends", std::to_string(this->sends)},
+                                {"mayHaveRun", std::to_string(this->attempts)}});
+}
+
+// Reports responses that say "not run" and responses that came out of step.
+void ActiveRequest::reportResponse(const core::HttpResponse &response, const ServerResponse &parsed)
+{
+    const bool notRun = parsed.responseClass == ResponseClass::Shed
+            || parsed.responseClass == ResponseClass::NotOwner;
+    if (response.skippedResponses > 0)
+        this->gateway.stats.count("responses_skipped_total", {}, response.skippedResponses);
+    if (!notRun && response.skippedResponses == 0)
+        return;
+    this->gateway.events.write(
+            log::Severity::Info, notRun ? "server-refused" : "response-out-of-step",
+            {{"request", this->request.id.value},
+             {"service", this->service.value},
+             {"server", this->server.value},
+             {"status", std::to_string(response.status)},
+             {"identified", parsed.identified ? "true" : "false"},
+             {"skipped", std::to_string(response.skippedResponses)},
+             {"sends", std::to_string(this->sends + 1)},
+             {"elapsed", formatSeconds(this->gateway.clock.now() - this->sentAt)}});
+}
+
 void ActiveRequest::onResponse(unsigned attemptGeneration,
                                core::Outcome<core::HttpResponse> outcome)
 {
@@ -319,6 +373,7 @@
         return this->onTransportError(outcome.error());
     const ServerResponse parsed = this->gateway.wireFormat.classifyResponse(*outcome);
     this->loadReport = parsed.load;
+    this->reportResponse(*outcome, parsed);
     this->applyServerState(parsed);
     switch (parsed.responseClass) {
     case ResponseClass::Answered:
@@ -560,6 +615,7 @@
                  {"reason", reason},
                  {"key", this->request.key ? std::to_string(*this->request.key) : ""},
                  {"owner", this->demand.owner ? this->demand.owner->value : ""},
+                 {"server", this->lastServer.value},
                  {"sends", std::to_string(this->sends)},
                  {"elapsed", formatSeconds(elapsed)},
                  {"left", this->route == nullptr ? "" : formatSeconds(this->timeLeft())},
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -37,6 +37,8 @@
     void wait(core::TimePoint until);
     void onResponse(unsigned attemptGeneration, core::Outcome<core::HttpResponse> outcome);
     void applyServerState(const ServerResponse &parsed);
+    void reportSend(const catalog::BackendServer &target);
+    void reportResponse(const core::HttpResponse &response, const ServerResponse &parsed);
     void onTransportError(const core::Error &error);
     void readBody(core::HttpResponse response);
     void scheduleBodyDeadline(unsigned attemptGeneration, core::TimePoint bodyDeadline);
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -136,6 +136,7 @@
     this->releasePending = false;
     this->writtenBytes = 0;
     this->skippedBytes = 0;
+    this->skippedResponses = 0;
     this->resetParser();
     this->deadline.setAt(this->current->expiresAt);
     const std::array<boost::asio::const_buffer, 2> buffers{
@@ -275,6 +276,7 @@
     if (!this->parser->is_done())
         return this->readMore(this->pool->limits.maxChunkBytes);
     this->discarding = false;
+    ++this->skippedResponses;
     this->readNextHeader();
 }
 
@@ -304,6 +306,7 @@
     core::HttpResponse result;
     result.status = message.result_int();
     result.headers = toHeaders(message);
+    result.skippedResponses = this->skippedResponses;
     if (const auto length = this->parser->content_length())
         result.contentLength = *length;
     std::string initialData = std::exchange(message.body(), {});
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -78,12 +78,13 @@
     ChunkHandler chunkHandler; // Set while a body read is pending.
     bool reading = false;
     bool writing = false;
-    bool reused = false;          // An exchange has completed on this socket.
-    bool resent = false;          // The current exchange has been resent on a new socket.
-    bool releasePending = false;  // Response complete, request write still pending.
-    bool discarding = false;      // The response to another request is being read.
-    bool mustClose = false;       // A response to another request arrived; not reusable.
-    std::size_t skippedBytes = 0; // Received since the request was written, before its response.
+    bool reused = false;           // An exchange has completed on this socket.
+    bool resent = false;           // The current exchange has been resent on a new socket.
+    bool releasePending = false;   // Response complete, request write still pending.
+    bool discarding = false;       // The response to another request is being read.
+    bool mustClose = false;        // A response to another request arrived; not reusable.
+    std::size_t skippedBytes = 0;  // Received since the request was written, before its response.
+    unsigned skippedResponses = 0; // Responses to other requests within `skippedBytes`.
     core::Duration idleTimeout{};
     std::size_t writtenBytes = 0;
     std::uint64_t socketGeneration = 0; // Detects completions of a replaced socket.
--- a/libs/slots/src/slot_coordinator.cpp
+++ b/libs/slots/src/slot_coordinator.cpp
@@ -30,7 +30,7 @@
     void start() override
     {
         this->pools = std::make_shared<SlotPoolManager>(
-                this->clock, this->gateway, this->options.queueCheckInterval,
+                this->clock, this->events, this->gateway, this->options.queueCheckInterval,
                 SlotPoolManager::Callbacks{
                         [weak = this->weak_from_this()](const Requester &requester, auto decision) {
                             if (const auto self = weak.lock())
@@ -312,6 +312,8 @@
         this->channel.send(assignee->peer, encodeSlotMessage({entry.ticket, SlotRelease{}}));
         if (unresponsive) {
             this->members.suspect(membership::InstanceRole::Slots, assignee->name, now);
+            this->gateway.statistics().count("slot_allocators_avoided_total",
+                                             "reason=\"unanswered\"");
             this->events.write(log::Severity::Warning, "slot-requests-unanswered",
                                {{"instance", assignee->name.value}});
         }
@@ -395,9 +397,13 @@
         const auto found = this->pendingRequests.find(ticket);
         if (found == this->pendingRequests.end() || !found->second.assignee)
             return;
-        this->members.suspect(membership::InstanceRole::Slots, found->second.assignee->name,
-                              this->clock.now());
+        const membership::Member &assignee = *found->second.assignee;
+        this->members.suspect(membership::InstanceRole::Slots, assignee.name, this->clock.now());
         this->assigneeCache.clear();
+        this->gateway.statistics().count("slot_allocators_avoided_total", "reason=\"unavailable\"");
+        this->events.write(
+                log::Severity::Info, "slot-allocator-unavailable",
+                {{"instance", assignee.name.value}, {"service", found->second.service.value}});
     }
 
     // Sends a decision to `requester`. No decision means that it has to decide locally.
--- a/libs/slots/src/slot_pool_manager.cpp
+++ b/libs/slots/src/slot_pool_manager.cpp
@@ -51,10 +51,25 @@
             this->pools.erase(entry);
             return nullptr;
         }
+        if (added)
+            this->reportOpened(key, servers, now);
     }
     return &pool;
 }
 
+// Several instances that open a pool with the same servers divide these servers' slots among
+// allocators that don't know of each other.
+void SlotPoolManager::reportOpened(const PoolKey &key, const catalog::BackendServers &servers,
+                                   core::TimePoint now)
+{
+    const auto cold = std::count_if(servers.begin(), servers.end(),
+                                    [now](const auto &server) { return now < server.coldUntil; });
+    this->events.write(log::Severity::Info, "slot-pool-opened",
+                       {{"pool", key.assignmentKey()},
+                        {"servers", std::to_string(servers.size())},
+                        {"cold", std::to_string(cold)}});
+}
+
 void SlotPoolManager::handleRequest(const Requester &requester, const SlotRequest &request)
 {
     const core::TimePoint now = this->clock.now();
--- a/libs/slots/src/slot_pool_manager.h
+++ b/libs/slots/src/slot_pool_manager.h
@@ -53,10 +53,11 @@
         std::function<void(const Requester &)> queued;
     };
 
-    SlotPoolManager(clock::Clock &managerClock, gateway::Gateway &ownGateway,
-                    core::Duration checkInterval, Callbacks requesterCallbacks)
-        : clock(managerClock), gateway(ownGateway), queueCheckInterval(checkInterval),
-          callbacks(std::move(requesterCallbacks))
+    SlotPoolManager(clock::Clock &managerClock, log::EventLog &eventLog,
+                    gateway::Gateway &ownGateway, core::Duration checkInterval,
+                    Callbacks requesterCallbacks)
+        : clock(managerClock), events(eventLog), gateway(ownGateway),
+          queueCheckInterval(checkInterval), callbacks(std::move(requesterCallbacks))
     { }
 
     /// Grants a slot, refuses the request or queues it.
@@ -87,7 +88,9 @@
 
     using Decisions = std::vector<std::pair<Requester, balance::SlotDecision>>;
 
-    // These three are called with the lock held.
+    // These four are called with the lock held.
+    void reportOpened(const PoolKey &key, const catalog::BackendServers &servers,
+                      core::TimePoint now);
     Pool *findOrCreatePool(const PoolKey &key, core::TimePoint now);
     Decisions dispatch(Pool &pool, const PoolKey &key, core::TimePoint now);
     void removeExpired(core::TimePoint now);
@@ -96,6 +99,7 @@
     void notifyAll(Decisions decisions);
 
     clock::Clock &clock;
+    log::EventLog &events;
     gateway::Gateway &gateway;
     const core::Duration queueCheckInterval;
     const Callbacks callbacks;
