--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -60,6 +60,9 @@
         return this->lastReadResult == 0 || (this->lastReadResult < 0 && errno == ECONNRESET);
     }
 
+    /// The descriptor, for `poll`.
+    int descriptor() { return this->socket.native_handle(); }
+
     /// Shuts down the sending side of the connection.
     void shutdownSend()
     {
