Let only the assigned instance grant slots of cold servers

Cause: an instance whose pool had no usable server answered as one that is stopping, so that each requester suspected it and asked the next one, for up to 16 s. When the servers came back, up to 20 instances allocated the slots of one server, each with half of its warm-up rate. Requests that time out spread requesters over allocators in the same way. Change: 'no servers' is a message of its own (SlotPoolEmpty) and suspects nobody. An instance that is not the assigned one by its own list of members, without suspicions and with a settled list, grants no slots of cold servers; the requester then decides from its own share of the rate. Why it works: the number of allocators of a cold server is the number of different settled lists of members, not of suspicions.

--- a/libs/balance/include/amaranthdale/balance/slot_pool.h
+++ b/libs/balance/include/amaranthdale/balance/slot_pool.h
@@ -57,6 +57,14 @@
     void setService(const catalog::Service &configured) { this->service = configured; }
     void setServers(const catalog::BackendServers &usable, core::TimePoint now);
 
+    /// Whether cold servers get requests. Others do in any case.
+    void setUsesColdServers(bool uses) { this->usesColdServers = uses; }
+
+    bool hasColdServers(core::TimePoint now) const;
+
+    /// True if any server may get requests now or when it has a free slot.
+    bool hasUsableServers(core::TimePoint now) const;
+
     /// Adds a request from data centre `from`. With `mayWait` false it is refused when no slot is
     /// free, so that the sender can try another pool.
     void request(Ticket ticket, Demand demand, core::DataCentreName from, bool mayWait,
@@ -104,9 +112,11 @@
                                   core::TimePoint now) const;
     core::Duration expectedRouteLatency(const Demand &demand) const;
     double warmupRate() const;
+    bool isExcluded(const ServerLoad &load, core::TimePoint now) const;
 
     const SlotPoolLimits limits;
     catalog::Service service;
+    bool usesColdServers = true;
     std::map<core::ServerName, ServerLoad> servers;
     std::map<Ticket, GrantedSlot> grantedSlots;
     std::vector<QueuedRequest> queue; ///< Invariant: sorted by priority, then by arrival.
--- a/libs/balance/src/slot_pool.cpp
+++ b/libs/balance/src/slot_pool.cpp
@@ -165,6 +165,25 @@
     return this->limits.warmupShare * this->service.warmupRate;
 }
 
+// Cold servers of a service without a warm-up rate have no limit that several pools could exceed.
+bool SlotPool::isExcluded(const ServerLoad &load, core::TimePoint now) const
+{
+    return !this->usesColdServers && this->service.warmupRate > 0 && load.isCold(now);
+}
+
+bool SlotPool::hasColdServers(core::TimePoint now) const
+{
+    return std::any_of(this->servers.begin(), this->servers.end(),
+                       [now](const auto &entry) { return entry.second.isCold(now); });
+}
+
+bool SlotPool::hasUsableServers(core::TimePoint now) const
+{
+    return std::any_of(this->servers.begin(), this->servers.end(), [this, now](const auto &entry) {
+        return !this->isExcluded(entry.second, now);
+    });
+}
+
 core::Duration SlotPool::cost(const ServerLoad &load, const QueuedRequest &entry,
                               core::TimePoint now)
 {
@@ -197,7 +216,8 @@
             continue;
         const bool available = load.isAvailable(now);
         anyAvailable = anyAvailable || available;
-        if (!this->hasFreeSlot(load, now) || load.earliestWarmup(this->warmupRate(), now) > now)
+        if (this->isExcluded(load, now) || !this->hasFreeSlot(load, now)
+            || load.earliestWarmup(this->warmupRate(), now) > now)
             continue;
         const core::Duration candidateCost = this->cost(load, entry, now);
         const bool better = best == nullptr || (available && !bestAvailable)
@@ -235,7 +255,7 @@
     double completionRate = 0; // Requests/s that the eligible servers complete.
     core::Duration lowestLatency = core::Duration::max();
     for (const auto &[name, load] : this->servers) {
-        if (demand.owner && name != *demand.owner)
+        if ((demand.owner && name != *demand.owner) || this->isExcluded(load, now))
             continue;
         if (!load.isCold(now))
             completionRate += load.capacity() / Seconds(routeLatency).count();
--- a/libs/membership/include/amaranthdale/membership/members.h
+++ b/libs/membership/include/amaranthdale/membership/members.h
@@ -5,6 +5,7 @@
 #include "amaranthdale/core/types.h"
 #include "amaranthdale/tables/guarded.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -81,6 +82,11 @@
                                    const std::optional<core::DataCentreName> &dataCentre,
                                    core::TimePoint now) const;
 
+    /// True if `assignee` is this instance for every instance that has the same list and suspects
+    /// nobody. False until `countSettleTime` after the first list, which may be incomplete.
+    bool isAssigned(std::string_view task, const std::optional<core::DataCentreName> &dataCentre,
+                    core::TimePoint now) const;
+
     /// Data centres with members, sorted by name.
     std::vector<core::DataCentreName> dataCentres() const;
 
@@ -106,6 +112,10 @@
     bool isSuspected(const Suspicions &suspicions, InstanceRole role, const Member &member,
                      core::TimePoint now) const;
 
+    // The member that is assigned to a task, among those for which `isEligible` is true.
+    static const Member *selectAssignee(const std::vector<Member> &members, std::string_view task,
+                                        const std::function<bool(const Member &)> &isEligible);
+
     struct State
     {
         std::vector<Member> members; ///< Invariant: sorted by name; contains `own`.
--- a/libs/membership/src/members.cpp
+++ b/libs/membership/src/members.cpp
@@ -107,35 +107,58 @@
     });
 }
 
+const Member *Members::selectAssignee(const std::vector<Member> &members, std::string_view task,
+                                      const std::function<bool(const Member &)> &isEligible)
+{
+    std::vector<const Member *> eligible;
+    double maxCores = 0;
+    for (const Member &member : members) {
+        if (!isEligible(member))
+            continue;
+        eligible.push_back(&member);
+        maxCores = std::max(maxCores, member.cores);
+    }
+    const Member *best = nullptr;
+    double highestScore = 0;
+    for (const Member *member : eligible) {
+        if (member->cores < minRelativeCores * maxCores)
+            continue;
+        const double memberScore = score(*member, task);
+        if (best == nullptr || memberScore > highestScore) {
+            best = member;
+            highestScore = memberScore;
+        }
+    }
+    return best;
+}
+
 std::optional<Member> Members::assignee(std::string_view task,
                                         const std::optional<core::DataCentreName> &dataCentre,
                                         core::TimePoint now) const
 {
     return this->state.with([&](const State &current) -> std::optional<Member> {
-        std::vector<const Member *> eligible;
-        double maxCores = 0;
-        for (const Member &member : current.members) {
-            if ((dataCentre && member.dataCentre != *dataCentre)
-                || this->isSuspected(current.suspicions, InstanceRole::Slots, member, now))
-                continue;
-            eligible.push_back(&member);
-            maxCores = std::max(maxCores, member.cores);
-        }
-        const Member *best = nullptr;
-        double highestScore = 0;
-        for (const Member *member : eligible) {
-            if (member->cores < minRelativeCores * maxCores)
-                continue;
-            const double memberScore = score(*member, task);
-            if (best == nullptr || memberScore > highestScore) {
-                best = member;
-                highestScore = memberScore;
-            }
-        }
+        const Member *best = selectAssignee(current.members, task, [&](const Member &member) {
+            return (!dataCentre || member.dataCentre == *dataCentre)
+                    && !this->isSuspected(current.suspicions, InstanceRole::Slots, member, now);
+        });
         return best == nullptr ? std::nullopt : std::optional(*best);
     });
 }
 
+bool Members::isAssigned(std::string_view task,
+                         const std::optional<core::DataCentreName> &dataCentre,
+                         core::TimePoint now) const
+{
+    return this->state.with([&](const State &current) {
+        if (current.peakCount == 0 || now - current.firstListAt < this->limits.countSettleTime)
+            return false;
+        const Member *best = selectAssignee(current.members, task, [&](const Member &member) {
+            return !dataCentre || member.dataCentre == *dataCentre;
+        });
+        return best != nullptr && best->name == this->own.name;
+    });
+}
+
 std::vector<core::DataCentreName> Members::dataCentres() const
 {
     return this->state.with([](const State &current) {
--- a/libs/slots/src/slot_coordinator.cpp
+++ b/libs/slots/src/slot_coordinator.cpp
@@ -36,10 +36,16 @@
                             if (const auto self = weak.lock())
                                 self->sendDecision(requester, std::move(decision));
                         },
+                        [weak = this->weak_from_this()](const Requester &requester,
+                                                        NoDecision reason) {
+                            if (const auto self = weak.lock())
+                                self->sendNoDecision(requester, reason);
+                        },
                         [weak = this->weak_from_this()](const Requester &requester) {
                             if (const auto self = weak.lock())
                                 self->sendQueued(requester);
-                        }});
+                        },
+                        [this](const PoolKey &key) { return this->isAssigned(key); }});
         this->channel.start([weak = this->weak_from_this()](const core::Endpoint &from,
                                                             std::string_view bytes) {
             if (const auto self = weak.lock())
@@ -340,6 +346,8 @@
         if (const auto *refused = std::get_if<SlotRefused>(&message->content))
             return this->onDecision(from, ticket,
                                     balance::Refuse{refused->retryAfter, refused->reason});
+        if (std::holds_alternative<SlotPoolUnavailable>(message->content))
+            this->avoidAssignee(from, ticket);
         this->onDecision(from, ticket, std::nullopt);
     }
 
@@ -376,8 +384,6 @@
             if (expected && granted)
                 handler = std::exchange(found->second.handler, nullptr);
         }
-        if (expected && !decision && from)
-            this->avoidAssignee(ticket);
         if (expected && !granted)
             return this->tryNextStep(ticket, std::move(decision));
         if (expected && from)
@@ -389,13 +395,13 @@
             this->channel.send(*from, encodeSlotMessage({ticket, SlotRelease{}}));
     }
 
-    // Avoids an instance that doesn't allocate slots of the pool: it is stopping, or knows other
-    // servers.
-    void avoidAssignee(Ticket ticket)
+    // Avoids an instance that is stopping.
+    void avoidAssignee(const core::Endpoint &from, Ticket ticket)
     {
         std::lock_guard lock(this->mutex);
         const auto found = this->pendingRequests.find(ticket);
-        if (found == this->pendingRequests.end() || !found->second.assignee)
+        if (found == this->pendingRequests.end() || !found->second.assignee
+            || found->second.assignee->peer != from)
             return;
         const membership::Member &assignee = *found->second.assignee;
         this->members.suspect(membership::InstanceRole::Slots, assignee.name, this->clock.now());
@@ -406,18 +412,32 @@
                 {{"instance", assignee.name.value}, {"service", found->second.service.value}});
     }
 
-    // Sends a decision to `requester`. No decision means that it has to decide locally.
-    void sendDecision(const Requester &requester, std::optional<balance::SlotDecision> decision)
+    bool isAssigned(const PoolKey &key) const
+    {
+        return this->members.isAssigned(key.assignmentKey(),
+                                        key.server ? std::nullopt : std::optional(key.dataCentre),
+                                        this->clock.now());
+    }
+
+    void sendDecision(const Requester &requester, balance::SlotDecision decision)
     {
         if (!requester.endpoint)
             return this->onDecision(std::nullopt, requester.ticket, std::move(decision));
-        SlotMessage message{requester.ticket, SlotPoolUnavailable{}};
-        if (decision) {
-            if (const auto *server = std::get_if<core::ServerName>(&*decision))
-                message.content = SlotGranted{*server};
-            else if (const auto *refusal = std::get_if<balance::Refuse>(&*decision))
-                message.content = SlotRefused{refusal->retryAfter, refusal->reason};
-        }
+        SlotMessage message{requester.ticket, {}};
+        if (const auto *server = std::get_if<core::ServerName>(&decision))
+            message.content = SlotGranted{*server};
+        else if (const auto *refusal = std::get_if<balance::Refuse>(&decision))
+            message.content = SlotRefused{refusal->retryAfter, refusal->reason};
+        this->channel.send(*requester.endpoint, encodeSlotMessage(message));
+    }
+
+    void sendNoDecision(const Requester &requester, NoDecision reason)
+    {
+        if (!requester.endpoint)
+            return this->onDecision(std::nullopt, requester.ticket, std::nullopt);
+        SlotMessage message{requester.ticket, SlotPoolEmpty{}};
+        if (reason == NoDecision::Stopping)
+            message.content = SlotPoolUnavailable{};
         this->channel.send(*requester.endpoint, encodeSlotMessage(message));
     }
 
--- a/libs/slots/src/slot_messages.cpp
+++ b/libs/slots/src/slot_messages.cpp
@@ -170,7 +170,7 @@
                               writer.string(refused.reason);
                           },
                           [&](const SlotRelease &release) { writeContent(writer, release); },
-                          [](const SlotPoolUnavailable &) {}},
+                          [](const SlotPoolUnavailable &) {}, [](const SlotPoolEmpty &) {}},
                message.content);
     return std::move(writer.buffer);
 }
@@ -204,6 +204,9 @@
     case 5:
         message.content = SlotPoolUnavailable{};
         break;
+    case 6:
+        message.content = SlotPoolEmpty{};
+        break;
     default:
         return std::nullopt;
     }
--- a/libs/slots/src/slot_messages.h
+++ b/libs/slots/src/slot_messages.h
@@ -53,12 +53,17 @@
     std::optional<balance::LoadReport> report;
 };
 
-/// The receiver doesn't allocate slots of the requested pool.
+/// The receiver doesn't allocate slots of the requested pool; another instance may.
 struct SlotPoolUnavailable
 { };
 
+/// The requested pool has no server that the receiver may use. No other instance is asked instead:
+/// each would open a pool of its own as soon as the servers return.
+struct SlotPoolEmpty
+{ };
+
 using SlotContent = std::variant<SlotRequest, SlotQueued, SlotGranted, SlotRefused, SlotRelease,
-                                 SlotPoolUnavailable>;
+                                 SlotPoolUnavailable, SlotPoolEmpty>;
 
 struct SlotMessage
 {
--- a/libs/slots/src/slot_pool_manager.cpp
+++ b/libs/slots/src/slot_pool_manager.cpp
@@ -11,6 +11,8 @@
 
 // A release that hasn't arrived this long after a request's deadline is considered lost.
 constexpr auto releaseGracePeriod = std::chrono::seconds(2);
+// How long the result of `isAssigned` is kept. It hashes the names of all members.
+constexpr auto assignmentCheckInterval = std::chrono::milliseconds(200);
 constexpr Ticket requestsPerRemoval = 256; // Requests between two cleanups of lost releases.
 
 balance::Demand makeDemand(const SlotRequest &request, core::TimePoint now)
@@ -54,9 +56,18 @@
         if (added)
             this->reportOpened(key, servers, now);
     }
+    this->checkAssignment(pool, key, now);
     return &pool;
 }
 
+void SlotPoolManager::checkAssignment(Pool &pool, const PoolKey &key, core::TimePoint now)
+{
+    if (!pool.slots.hasColdServers(now) || now < pool.assignmentCheckedAt + assignmentCheckInterval)
+        return;
+    pool.assignmentCheckedAt = now;
+    pool.slots.setUsesColdServers(this->callbacks.isAssigned(key));
+}
+
 // Several instances that open a pool with the same servers divide these servers' slots among
 // allocators that don't know of each other.
 void SlotPoolManager::reportOpened(const PoolKey &key, const catalog::BackendServers &servers,
@@ -80,7 +91,7 @@
     {
         std::lock_guard lock(this->mutex);
         Pool *pool = this->stopped ? nullptr : this->findOrCreatePool(key, now);
-        available = pool != nullptr;
+        available = pool != nullptr && pool->slots.hasUsableServers(now);
         if (available) {
             const Ticket poolTicket = ++this->lastTicket;
             this->activeRequests[poolTicket] =
@@ -97,7 +108,8 @@
         }
     }
     if (!available)
-        this->callbacks.decided(requester, std::nullopt);
+        this->callbacks.undecided(requester,
+                                  this->stopped ? NoDecision::Stopping : NoDecision::NoServers);
     if (queued)
         this->callbacks.queued(requester);
     this->notifyAll(std::move(decisions));
--- a/libs/slots/src/slot_pool_manager.h
+++ b/libs/slots/src/slot_pool_manager.h
@@ -40,7 +40,16 @@
     auto operator<=>(const Requester &) const = default;
 };
 
-/// Allocates slots of the servers in the gateway's directory to this and other instances.
+/// Why a slot request gets no decision. The requester decides from its local state.
+enum class NoDecision {
+    Stopping,  ///< This instance allocates no slots any more.
+    NoServers, ///< The pool has no server that this instance may use.
+};
+
+/// Allocates slots of the servers in the gateway's directory to this and other instances. An
+/// instance that isn't assigned to a pool allocates its slots too when requesters suspect the
+/// assigned one, but uses no cold servers: any number of instances may be asked at once, and
+/// together they would exceed the warm-up rate.
 /// Thread-safe.
 class SlotPoolManager : public std::enable_shared_from_this<SlotPoolManager>
 {
@@ -48,9 +57,11 @@
     /// Notifications for requesters. Invoked without the lock, possibly from inside a call.
     struct Callbacks
     {
-        /// No decision: this instance doesn't allocate slots of the pool.
-        std::function<void(const Requester &, std::optional<balance::SlotDecision>)> decided;
+        std::function<void(const Requester &, balance::SlotDecision)> decided;
+        std::function<void(const Requester &, NoDecision)> undecided;
         std::function<void(const Requester &)> queued;
+        /// Whether this instance is the one assigned to the pool.
+        std::function<bool(const PoolKey &)> isAssigned;
     };
 
     SlotPoolManager(clock::Clock &managerClock, log::EventLog &eventLog,
@@ -77,6 +88,7 @@
         balance::SlotPool slots;
         std::uint64_t directoryVersion = 0; ///< Of the servers in `slots`; 0: not loaded.
         bool tickScheduled = false;
+        core::TimePoint assignmentCheckedAt{};
     };
 
     struct ActiveRequest
@@ -88,10 +100,11 @@
 
     using Decisions = std::vector<std::pair<Requester, balance::SlotDecision>>;
 
-    // These four are called with the lock held.
+    // These five are called with the lock held.
     void reportOpened(const PoolKey &key, const catalog::BackendServers &servers,
                       core::TimePoint now);
     Pool *findOrCreatePool(const PoolKey &key, core::TimePoint now);
+    void checkAssignment(Pool &pool, const PoolKey &key, core::TimePoint now);
     Decisions dispatch(Pool &pool, const PoolKey &key, core::TimePoint now);
     void removeExpired(core::TimePoint now);
 
