Believe 'not run' only from a response that can't be another send's

Callers saw: a payment that a server ran, or was running, was refused as not run (REFUSED), or ran at a second server (TWICE). Cause: the response on which 'not run' rests was tied to its request by the Request-Id alone, which all sends of a request share, and not at all where a failure had no id. A late copy of a refusal on the connection of its retry, or a refusal without an id, was taken for the response to the send in progress. Why it works: nothing that a server sends late can arrive on a connection that has carried no other request.

--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -61,6 +61,10 @@
     /// Whether the request may be resent once on a new connection if a reused one turns out to be
     /// closed. Unset: GET and HEAD may.
     std::optional<bool> resendable = std::nullopt;
+
+    /// Sends the request as the first one on a connection. Nothing that a server may still send in
+    /// response to an earlier request can then be taken for the response to this one.
+    bool newConnection = false;
 };
 
 /// A chunk of a response body.
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -295,6 +295,10 @@
             this->gateway.wireFormat.encodeForServer(this->request, target.name, time);
     // The sender must not retry: only the gateway knows the retry budget that all instances share.
     message.resendable = false;
+    // A late copy of the response to an earlier attempt bears the id of this request too.
+    message.newConnection = std::find(this->sentTo.begin(), this->sentTo.end(), target.endpoint)
+            != this->sentTo.end();
+    this->sentTo.push_back(target.endpoint);
     const unsigned attemptGeneration = ++this->generation;
     auto started =
             this->gateway.sender.send(target.endpoint, std::move(message), time + responseMargin,
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -65,6 +65,7 @@
     core::ServerName server;             ///< Server of the attempt in progress.
     std::uint64_t serverIncarnation = 0; ///< Incarnation of `server`.
     core::ServerName lastServer;         ///< Server of the last finished attempt.
+    std::vector<core::Endpoint> sentTo;  ///< Destinations of all attempts.
     unsigned attempts = 0;               ///< Attempts that may have run the request.
     unsigned sends = 0;                  ///< Attempts that may have reached a server.
     /// Number of the current step. Callbacks of earlier steps are ignored.
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -187,3 +187,15 @@
     CHECK(line.find("route") == "pay");
     CHECK(line.find("configuration") == "1");
 }
+
+TEST_CASE("a request is sent to a server again only on a new connection")
+{
+    Fixture test;
+    test.assign("a");
+    test.send("/read/1", "5");
+    CHECK_FALSE(test.sender.sent.front().request.newConnection);
+    test.sender.fail(core::ErrorKind::ConnectionLost);
+    test.clock.advance(milliseconds(40));
+    REQUIRE(test.sender.sent.size() == 1);
+    CHECK(test.sender.sent.front().request.newConnection);
+}
--- a/libs/http/src/backend_client.cpp
+++ b/libs/http/src/backend_client.cpp
@@ -32,6 +32,7 @@
         exchange->isHead = request.method == "HEAD";
         exchange->resendable =
                 request.resendable.value_or(exchange->isHead || request.method == "GET");
+        exchange->newConnection = request.newConnection;
         exchange->correlationHeader = request.correlationHeader;
         auto header = formatRequestHeader(request, to);
         if (!header) {
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -307,6 +307,10 @@
     result.status = message.result_int();
     result.headers = toHeaders(message);
     result.skippedResponses = this->skippedResponses;
+    // A response that doesn't name its request may be the response to another one.
+    if (this->current->correlationHeader
+        && !core::findHeader(result.headers, this->current->correlationHeader->name))
+        this->mustClose = true;
     if (const auto length = this->parser->content_length())
         result.contentLength = *length;
     std::string initialData = std::exchange(message.body(), {});
@@ -395,15 +399,19 @@
         return;
     }
     this->releasePending = false;
-    if (!this->parser->keep_alive() || this->buffer.size() > 0 || this->mustClose) {
+    const bool reusable =
+            this->parser->keep_alive() && this->buffer.size() == 0 && !this->mustClose;
+    std::shared_ptr<ClientExchange> next;
+    if (!reusable || !this->pool->release(this->shared_from_this(), next)) {
         this->closeConnection();
         return this->pool->removeBusy(this->shared_from_this());
     }
+    // Whoever takes the connection from the pool posts to the strand that runs this function.
     this->state = State::Idle;
     this->reused = true;
     this->deadline.setAfter(this->idleTimeout);
     this->readMore(headerReadBytes);
-    if (auto next = this->pool->release(this->shared_from_this()))
+    if (next)
         this->startExchange(std::move(next));
 }
 
--- a/libs/http/src/client_exchange.h
+++ b/libs/http/src/client_exchange.h
@@ -37,6 +37,7 @@
     std::string body;
     bool isHead = false;                           ///< Method HEAD: the response has no body.
     bool resendable = false;                       ///< May be resent on a new connection.
+    bool newConnection = false;                    ///< Must be the first one on its connection.
     std::optional<core::Header> correlationHeader; ///< Field that the response must echo.
     core::Duration timeout{};
     core::TimePoint expiresAt;
--- a/libs/http/src/connection_pool.cpp
+++ b/libs/http/src/connection_pool.cpp
@@ -18,7 +18,7 @@
         poolClosed = this->closed;
         if (!poolClosed) {
             EndpointState &state = this->endpoints[exchange->remoteEndpoint];
-            connection = this->acquireConnection(state, exchange->remoteEndpoint);
+            connection = this->acquireConnection(state, *exchange);
             exchange->connection = connection;
             if (!connection)
                 this->enqueue(state, exchange);
@@ -30,18 +30,33 @@
         connection->start(exchange);
 }
 
+std::shared_ptr<ClientConnection> ConnectionPool::takeIdle(EndpointState &state)
+{
+    if (state.idle.empty())
+        return nullptr;
+    auto connection = std::move(state.idle.back());
+    state.idle.pop_back();
+    return connection;
+}
+
 std::shared_ptr<ClientConnection> ConnectionPool::acquireConnection(EndpointState &state,
-                                                                    const core::Endpoint &endpoint)
+                                                                    const ClientExchange &exchange)
 {
-    if (!state.idle.empty()) {
-        auto connection = std::move(state.idle.back());
-        state.idle.pop_back();
-        return connection;
+    const bool isFull = state.openCount >= this->limits.maxConnectionsPerEndpoint;
+    if (!exchange.newConnection || isFull) {
+        auto connection = this->takeIdle(state);
+        if (connection && !exchange.newConnection)
+            return connection;
+        if (connection) {
+            this->unregister(state, connection.get());
+            connection->close();
+        } else if (isFull) {
+            return nullptr;
+        }
     }
-    if (state.openCount >= this->limits.maxConnectionsPerEndpoint)
-        return nullptr;
     ++state.openCount;
-    auto connection = std::make_shared<ClientConnection>(this->shared_from_this(), endpoint);
+    auto connection =
+            std::make_shared<ClientConnection>(this->shared_from_this(), exchange.remoteEndpoint);
     this->connections.emplace(connection.get(), connection);
     return connection;
 }
@@ -72,19 +87,21 @@
     return exchange;
 }
 
-std::shared_ptr<ClientExchange> ConnectionPool::release(
-        const std::shared_ptr<ClientConnection> &connection)
+bool ConnectionPool::release(const std::shared_ptr<ClientConnection> &connection,
+                             std::shared_ptr<ClientExchange> &next)
 {
     std::lock_guard lock(this->mutex);
     if (this->closed)
-        return nullptr;
+        return true;
     EndpointState &state = this->endpoints[connection->endpoint()];
-    auto exchange = this->dequeue(state);
-    if (exchange)
-        exchange->connection = connection;
+    if (!state.queue.empty() && state.queue.front()->newConnection)
+        return false;
+    next = this->dequeue(state);
+    if (next)
+        next->connection = connection;
     else
         state.idle.push_back(connection);
-    return exchange;
+    return true;
 }
 
 bool ConnectionPool::removeIdle(const std::shared_ptr<ClientConnection> &connection)
@@ -107,7 +124,7 @@
         this->unregister(state, connection.get());
         exchange = this->closed ? nullptr : this->dequeue(state);
         if (exchange) {
-            replacement = this->acquireConnection(state, exchange->remoteEndpoint);
+            replacement = this->acquireConnection(state, *exchange);
             exchange->connection = replacement;
         }
     }
--- a/libs/http/src/connection_pool.h
+++ b/libs/http/src/connection_pool.h
@@ -28,9 +28,12 @@
     /// reached its connection limit.
     void submit(const std::shared_ptr<ClientExchange> &exchange);
 
-    /// Returns a connection to the pool after its exchange. The result is the next queued exchange,
-    /// which is now assigned to it, or null when the connection is idle or the pool closed.
-    std::shared_ptr<ClientExchange> release(const std::shared_ptr<ClientConnection> &connection);
+    /// Returns a connection to the pool after its exchange. `next` is the next queued exchange,
+    /// which is now assigned to it, or null when the connection is idle or the pool closed. Returns
+    /// false if the next exchange needs a new connection; the caller then closes this one and
+    /// reports it to `removeBusy`.
+    bool release(const std::shared_ptr<ClientConnection> &connection,
+                 std::shared_ptr<ClientExchange> &next);
 
     /// Removes an idle connection that was closed. Returns false when an exchange has already been
     /// assigned to it; the connection must then reconnect.
@@ -58,7 +61,8 @@
     };
 
     std::shared_ptr<ClientConnection> acquireConnection(EndpointState &state,
-                                                        const core::Endpoint &endpoint);
+                                                        const ClientExchange &exchange);
+    std::shared_ptr<ClientConnection> takeIdle(EndpointState &state);
     void enqueue(EndpointState &state, const std::shared_ptr<ClientExchange> &exchange);
     std::shared_ptr<ClientExchange> dequeue(EndpointState &state);
     bool removeQueued(const std::shared_ptr<ClientExchange> &exchange);
--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -395,3 +395,59 @@
     REQUIRE(outcome);
     CHECK(outcome->status == 503);
 }
+
+TEST_CASE("client: a request that needs a new connection gets one, also at the connection limit")
+{
+    Workers workers;
+    http::ClientLimits limits;
+    limits.maxConnectionsPerEndpoint = 1;
+    auto client = http::makeBackendClient(workers.context, limits);
+    RawServer server;
+    ResponseWaiter first;
+    client->send(server.endpoint(), get(), waitTimeout, first.handler());
+    RawSocket used(server.acceptor);
+    used.readUntil("\r\n\r\n");
+    const auto sendAgain = [&](ResponseWaiter &waiter) {
+        core::HttpRequest request = post();
+        request.newConnection = true;
+        client->send(server.endpoint(), std::move(request), waitTimeout, waiter.handler());
+    };
+    ResponseWaiter second;
+    SUBCASE("queued behind a request in progress")
+    {
+        sendAgain(second);
+        used.write(okResponse);
+        REQUIRE(first.get());
+    }
+    SUBCASE("instead of an idle connection")
+    {
+        used.write(okResponse);
+        REQUIRE(first.get());
+        // The connection is idle once the server sees nothing more to read for a moment.
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        sendAgain(second);
+    }
+    CHECK(used.readUntil().empty());
+    CHECK(used.isClosed());
+    RawSocket fresh(server.acceptor);
+    fresh.readUntil("pay");
+    fresh.write(okResponse);
+    REQUIRE(second.get());
+}
+
+TEST_CASE("client: a connection is not reused after a response that names no request")
+{
+    Workers workers;
+    auto client = http::makeBackendClient(workers.context);
+    RawServer server;
+    ResponseWaiter waiter;
+    core::HttpRequest request = get();
+    request.correlationHeader = core::Header{"Id", "two"};
+    client->send(server.endpoint(), std::move(request), waitTimeout, waiter.handler());
+    RawSocket connection(server.acceptor);
+    connection.readUntil("\r\n\r\n");
+    connection.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(waiter.get());
+    connection.readUntil();
+    CHECK(connection.isClosed());
+}
