End every request before a planned stop ends

Callers saw: in a planned stop, connections were cut without an answer, among them payments that had never been sent (LOST). Cause: the gateway kept no list of its requests. The exit 0.3 s before the end of the grace period dropped whatever waited for a slot, an owner or a retry, and whatever was at a server. Change: the gateway knows its requests. Whether a request waits and whether it is finished are decided under one lock, so that no request is both refused and sent. Why it works: each request has ended before the exit, with a true outcome.

--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -25,6 +25,8 @@
 
 namespace amaranthdale::gateway {
 
+class ActiveRequest;
+
 /// Settings of a gateway.
 struct GatewayLimits
 {
@@ -104,6 +106,14 @@
     /// most of them.
     void stopAccepting() { this->stopping = true; }
 
+    /// Refuses all requests that wait to be sent, now and later. Called when most of them could not
+    /// be answered before the instance exits; another instance can still serve them.
+    void stopSending();
+
+    /// Ends all requests in progress with a response that says that they may have run. Called just
+    /// before the instance exits.
+    void abandonRequests();
+
     /// Number of requests in progress.
     std::size_t requestsInProgress() const;
 
@@ -117,6 +127,9 @@
     };
 
     using Waiter = std::function<void()>;
+    using ActiveRequests = std::map<std::uint64_t, std::weak_ptr<ActiveRequest>>;
+
+    std::vector<std::shared_ptr<ActiveRequest>> requests();
 
     bool mayServeKeys(const catalog::Directory &servers, const core::ServerName &name,
                       std::uint64_t incarnation) const;
@@ -148,8 +161,10 @@
     tables::Guarded<std::map<std::string, std::map<core::ServiceName, double>>> weightCredits;
     tables::Guarded<std::vector<Waiter>> waiters;
     std::atomic<unsigned> instanceCount{balance::BalancerShare().instances};
-    std::atomic<std::size_t> activeRequests{0};
+    tables::Guarded<ActiveRequests> activeRequests; ///< By number; until the final response.
+    std::atomic<std::uint64_t> lastRequestNumber{0};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> sendingStopped{false};
     std::atomic<std::uint64_t> changeCount{1};
     SlotAllocator *slotAllocator = nullptr;
     Statistics stats;
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -57,14 +57,14 @@
 } // namespace
 
 ActiveRequest::ActiveRequest(Gateway &owner, core::ResponseHandler responseHandler)
-    : gateway(owner), respond(std::move(responseHandler))
+    : gateway(owner), number(++owner.lastRequestNumber), respond(std::move(responseHandler))
 { }
 
 std::shared_ptr<core::Exchange> ActiveRequest::begin(Gateway &owner, core::HttpRequest message,
                                                      core::ResponseHandler respond)
 {
     auto active = std::make_shared<ActiveRequest>(owner, std::move(respond));
-    ++owner.activeRequests;
+    owner.activeRequests.with([&active](auto &all) { all.emplace(active->number, active); });
     active->start(std::move(message));
     return active;
 }
@@ -116,6 +116,8 @@
 {
     if (this->isFinished())
         return;
+    if (this->gateway.sendingStopped)
+        return this->refuse(stoppingRetryAfter, "stopping");
     const core::TimePoint now = this->gateway.clock.now();
     if (this->timeLeft() < minAttemptTime)
         return this->sends > 0 ? this->fail(gatewayTimeoutStatus, "deadline")
@@ -162,6 +164,7 @@
 
 void ActiveRequest::requestSlot(const std::optional<core::ServerName> &target)
 {
+    this->beginWaiting();
     const unsigned requestGeneration = ++this->generation;
     balance::Demand allocatorDemand = this->demand;
     this->gateway.balancers.with([&](auto &all) {
@@ -265,6 +268,7 @@
 {
     // Either the timer or a table change continues the request; the later one sees a new generation
     // and does nothing.
+    this->beginWaiting();
     const unsigned waitGeneration = ++this->generation;
     const auto proceed = [self = this->shared_from_this(), waitGeneration] {
         {
@@ -288,6 +292,14 @@
     this->server = target.name;
     this->serverIncarnation = target.incarnation;
     this->sentAt = this->gateway.clock.now();
+    bool alreadyFinished = false;
+    {
+        std::lock_guard lock(this->mutex);
+        alreadyFinished = this->finished;
+        this->waiting = false;
+    }
+    if (alreadyFinished)
+        return this->endAttempt(balance::AttemptResult::Cancelled);
     this->loadReport.reset();
     this->reportSend(target);
     const core::Duration time = this->timeLeft();
@@ -463,7 +475,7 @@
                     response.body = joinBody(std::move(prefix->text), std::move(response.body),
                                              self->gateway.clock, bodyDeadline + maxStreamOverrun);
                 }
-                self->finish(std::move(response), "answered", "");
+                self->finish({std::move(response), "answered", ""});
             });
     if (attemptGeneration == this->generation && !this->isFinished())
         this->scheduleBodyDeadline(attemptGeneration, bodyDeadline);
@@ -511,7 +523,7 @@
     }
     if (impliesNotRun(response.status))
         return this->fail(badGateway, "server-status-" + std::to_string(response.status));
-    this->finish(std::move(response), "failed", "server-failed");
+    this->finish({std::move(response), "failed", "server-failed"});
 }
 
 // Retries at the owner of a key are delayed; retries at another server start immediately.
@@ -566,23 +578,34 @@
     this->lastServer = std::exchange(this->server, core::ServerName());
 }
 
-void ActiveRequest::refuse(core::Duration retryAfter, const std::string &reason)
+ActiveRequest::Result ActiveRequest::makeRefusal(core::Duration retryAfter,
+                                                 const std::string &reason) const
 {
     // The response must not say "not-run" if an earlier attempt may have run the request.
     if (this->attempts > 0)
-        return this->fail(badGateway, reason);
+        return makeFailure(badGateway, reason);
     core::HttpResponse response = core::makeResponse(
             serviceUnavailable, "{\"error\":\"" + reason + "\",\"outcome\":\"not-run\"}\n");
     core::setHeader(response.headers, "Retry-After", formatSeconds(retryAfter));
-    this->finish(std::move(response), "refused", reason);
+    return {std::move(response), "refused", reason};
 }
 
-void ActiveRequest::fail(unsigned status, const std::string &reason)
+ActiveRequest::Result ActiveRequest::makeFailure(unsigned status, const std::string &reason)
 {
     const bool notRun = status < 500;
     core::HttpResponse response = core::makeResponse(
             status, std::string("{\"outcome\":\"") + (notRun ? "not-run" : "unknown") + "\"}\n");
-    this->finish(std::move(response), "failed", reason);
+    return {std::move(response), "failed", reason};
+}
+
+void ActiveRequest::refuse(core::Duration retryAfter, const std::string &reason)
+{
+    this->finish(this->makeRefusal(retryAfter, reason));
+}
+
+void ActiveRequest::fail(unsigned status, const std::string &reason)
+{
+    this->finish(makeFailure(status, reason));
 }
 
 bool ActiveRequest::isFinished()
@@ -591,17 +614,26 @@
     return this->finished;
 }
 
-void ActiveRequest::finish(core::HttpResponse response, const char *outcome,
-                           const std::string &reason)
+bool ActiveRequest::tryFinish(bool onlyIfWaiting)
 {
-    {
-        std::lock_guard lock(this->mutex);
-        if (this->finished)
-            return;
-        this->finished = true;
-        this->exchange.reset();
-    }
-    --this->gateway.activeRequests;
+    std::lock_guard lock(this->mutex);
+    if (this->finished || (onlyIfWaiting && !this->waiting))
+        return false;
+    this->finished = true;
+    this->exchange.reset();
+    return true;
+}
+
+void ActiveRequest::finish(Result result)
+{
+    if (this->tryFinish(false))
+        this->deliver(std::move(result));
+}
+
+void ActiveRequest::deliver(Result result)
+{
+    auto &[response, outcome, reason] = result;
+    this->unregister();
     const core::Duration elapsed = this->gateway.clock.now() - this->demand.arrived;
     const std::string routeName = this->route == nullptr ? "" : this->route->name;
     this->gateway.stats.observe(routeName, elapsed);
@@ -628,6 +660,31 @@
     this->respond(std::move(response));
 }
 
+void ActiveRequest::beginWaiting()
+{
+    std::lock_guard lock(this->mutex);
+    this->waiting = true;
+}
+
+void ActiveRequest::unregister()
+{
+    this->gateway.activeRequests.with([this](auto &all) { all.erase(this->number); });
+}
+
+void ActiveRequest::refuseIfWaiting()
+{
+    if (!this->tryFinish(true))
+        return;
+    this->releaseSlot(balance::AttemptResult::Cancelled, {});
+    this->deliver(this->makeRefusal(stoppingRetryAfter, "stopping"));
+}
+
+void ActiveRequest::abandon()
+{
+    this->refuseIfWaiting();
+    this->fail(gatewayTimeoutStatus, "stopping");
+}
+
 void ActiveRequest::cancel()
 {
     std::shared_ptr<core::Exchange> pending;
@@ -639,7 +696,7 @@
         pending = std::move(this->exchange);
     }
     this->releaseSlot(balance::AttemptResult::Cancelled, {});
-    --this->gateway.activeRequests;
+    this->unregister();
     this->gateway.stats.count("requests_total", "outcome=\"cancelled\"");
     if (pending)
         pending->cancel();
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -21,6 +21,12 @@
     /// Cancels the attempt in progress. Called when the caller no longer waits.
     void cancel() override;
 
+    /// Refuses the request if it waits for a slot, an owner or its next attempt.
+    void refuseIfWaiting();
+
+    /// Refuses the request if it waits; otherwise ends it as one that may have run.
+    void abandon();
+
 private:
     void start(core::HttpRequest message);
     void startAttempt();
@@ -48,13 +54,28 @@
     bool tryTakeRetry(bool mayHaveRun);
     void retryOrRefuse(const char *reason);
     void endAttempt(balance::AttemptResult result);
+    // The final response and what is reported about it.
+    struct Result
+    {
+        core::HttpResponse response;
+        const char *outcome;
+        std::string reason;
+    };
+
+    static Result makeFailure(unsigned status, const std::string &reason);
+    Result makeRefusal(core::Duration retryAfter, const std::string &reason) const;
     void refuse(core::Duration retryAfter, const std::string &reason);
     void fail(unsigned status, const std::string &reason);
-    void finish(core::HttpResponse response, const char *outcome, const std::string &reason);
+    void finish(Result result);
+    bool tryFinish(bool onlyIfWaiting);
+    void deliver(Result result);
+    void unregister();
+    void beginWaiting();
     bool isFinished();
     core::Duration timeLeft() const;
 
     Gateway &gateway;
+    const std::uint64_t number; ///< Key in the gateway's table of active requests.
     core::ResponseHandler respond;
     CallerRequest request;
     std::shared_ptr<const catalog::RouteTable> table; ///< Keeps `route` alive.
@@ -78,6 +99,8 @@
 
     std::mutex mutex;
     bool finished = false;
+    /// No attempt is in progress, and `attempts` counts all earlier ones. Guarded by mutex.
+    bool waiting = false;
     std::shared_ptr<core::Exchange> exchange;  ///< Guarded by mutex.
     std::optional<balance::Ticket> slotTicket; ///< Requested or held; guarded by mutex.
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -16,7 +16,7 @@
       limits(std::move(gatewayLimits)), configuration(LockRank::Configuration),
       directory(LockRank::Membership), ownership(LockRank::Ownership),
       balancers(LockRank::BackendServers), weightCredits(LockRank::Requests),
-      waiters(LockRank::Requests)
+      waiters(LockRank::Requests), activeRequests(LockRank::Requests)
 { }
 
 std::shared_ptr<core::Exchange> Gateway::handle(core::HttpRequest request,
@@ -242,9 +242,34 @@
         waiter();
 }
 
+void Gateway::stopSending()
+{
+    this->sendingStopped = true;
+    for (const auto &request : this->requests())
+        request->refuseIfWaiting();
+}
+
+void Gateway::abandonRequests()
+{
+    for (const auto &request : this->requests())
+        request->abandon();
+}
+
+std::vector<std::shared_ptr<ActiveRequest>> Gateway::requests()
+{
+    return this->activeRequests.with([](const ActiveRequests &all) {
+        std::vector<std::shared_ptr<ActiveRequest>> found;
+        for (const auto &[number, weak] : all) {
+            if (auto request = weak.lock())
+                found.push_back(std::move(request));
+        }
+        return found;
+    });
+}
+
 std::size_t Gateway::requestsInProgress() const
 {
-    return this->activeRequests;
+    return this->activeRequests.with([](const ActiveRequests &all) { return all.size(); });
 }
 
 } // namespace amaranthdale::gateway
