Leave a request queued when an idle connection has made room for another

Cause: at the connection limit, a request that needs a new connection evicts an idle one. Change: a request leaves the queue only with a connection. Measured: the new case of test_http crashed before and passes.

--- a/libs/http/src/connection_pool.cpp
+++ b/libs/http/src/connection_pool.cpp
@@ -122,13 +122,15 @@
         std::lock_guard lock(this->mutex);
         EndpointState &state = this->endpoints[connection->endpoint()];
         this->unregister(state, connection.get());
-        exchange = this->closed ? nullptr : this->dequeue(state);
-        if (exchange) {
-            replacement = this->acquireConnection(state, *exchange);
+        if (!this->closed && !state.queue.empty())
+            replacement = this->acquireConnection(state, *state.queue.front());
+        // None is available if this connection made room for another one before it closed.
+        if (replacement) {
+            exchange = this->dequeue(state);
             exchange->connection = replacement;
         }
     }
-    if (exchange)
+    if (replacement)
         replacement->start(exchange);
 }
 
--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -451,3 +451,40 @@
     connection.readUntil();
     CHECK(connection.isClosed());
 }
+
+TEST_CASE("client: a request that is queued while an idle connection makes room waits its turn")
+{
+    boost::asio::io_context context;
+    auto work = boost::asio::make_work_guard(context);
+    std::thread worker([&context] { context.run(); });
+    http::ClientLimits limits;
+    limits.maxConnectionsPerEndpoint = 1;
+    auto client = http::makeBackendClient(context, limits);
+    RawServer server;
+    ResponseWaiter first;
+    client->send(server.endpoint(), get(), waitTimeout, first.handler());
+    RawSocket used(server.acceptor);
+    used.readUntil("\r\n\r\n");
+    used.write(okResponse);
+    REQUIRE(first.get());
+    std::this_thread::sleep_for(std::chrono::milliseconds(50)); // The connection becomes idle.
+    ResponseWaiter second;
+    ResponseWaiter third;
+    // On the only thread, so that the idle connection closes after the third request was queued.
+    boost::asio::post(context, [&] {
+        core::HttpRequest request = post();
+        request.newConnection = true;
+        client->send(server.endpoint(), std::move(request), waitTimeout, second.handler());
+        client->send(server.endpoint(), get(), waitTimeout, third.handler());
+    });
+    RawSocket fresh(server.acceptor);
+    fresh.readUntil("pay");
+    fresh.write(okResponse);
+    CHECK(second.get());
+    fresh.readUntil("\r\n\r\n");
+    fresh.write(okResponse);
+    CHECK(third.get());
+    client.reset();
+    work.reset();
+    worker.join();
+}
