--- a/libs/balance/tests/slot_pool_test.cpp
+++ b/libs/balance/tests/slot_pool_test.cpp
@@ -182,6 +182,40 @@
     CHECK(grantCount > 0);
 }
 
+TEST_CASE("a pool that may not use cold servers grants warm ones only, then cold ones once allowed")
+{
+    catalog::BackendServer cold = makeServer("cold");
+    cold.coldUntil = start + seconds(3);
+    SlotPool pool(1);
+    catalog::Service service;
+    service.warmupRate = 10;
+    service.warmup = seconds(3);
+    pool.setService(service);
+    pool.setServers({cold, makeServer("warm")}, start);
+    pool.setUsesColdServers(false);
+    CHECK(pool.hasColdServers(start));
+    CHECK(pool.hasUsableServers(start));
+    Ticket ticket = 0;
+    const auto grantsOfCold = [&](core::TimePoint from, core::Duration duration) {
+        int grants = 0;
+        for (auto now = from; now < from + duration; now += milliseconds(10)) {
+            const auto result = requestSlot(pool, ++ticket, now, 1, false);
+            grants += result && grantedServer(*result) == "cold";
+            pool.release(ticket, AttemptResult::Answered, milliseconds(1), {}, now);
+        }
+        return grants;
+    };
+    CHECK(grantsOfCold(start, milliseconds(1400)) == 0);
+    pool.setServers({cold}, start + milliseconds(1400));
+    CHECK(!pool.hasUsableServers(start + milliseconds(1400)));
+    const auto result = requestSlot(pool, ++ticket, start + milliseconds(1400));
+    REQUIRE(result);
+    CHECK(grantedServer(*result).empty());
+    pool.setUsesColdServers(true);
+    CHECK(pool.hasUsableServers(start + milliseconds(1400)));
+    CHECK(grantsOfCold(start + milliseconds(1400), milliseconds(1600)) > 0);
+}
+
 TEST_CASE("an unreachable server is not used while another one is available")
 {
     auto pool = makePool({makeServer("a", 1), makeServer("b", 1)});
--- a/libs/membership/tests/members_test.cpp
+++ b/libs/membership/tests/members_test.cpp
@@ -43,6 +43,28 @@
     }
 }
 
+TEST_CASE("exactly one instance counts as assigned to a task, whoever suspects it")
+{
+    const auto all = makeMembers(10);
+    const core::TimePoint settled = start + seconds(4);
+    for (int task = 0; task < 20; ++task) {
+        const std::string name = "task" + std::to_string(task);
+        int assigned = 0;
+        for (const Member &own : all) {
+            Members members(own);
+            CHECK(!members.isAssigned(name, {}, settled)); // Knows no list yet.
+            members.update(all, start);
+            CHECK(!members.isAssigned(name, {}, start + seconds(1))); // May be incomplete.
+            const auto usual = members.assignee(name, {}, settled);
+            REQUIRE(usual);
+            members.suspect(InstanceRole::Slots, usual->name, settled);
+            assigned += members.isAssigned(name, {}, settled) ? 1 : 0;
+            CHECK(members.isAssigned(name, {}, settled) == (usual->name == own.name));
+        }
+        CHECK(assigned == 1);
+    }
+}
+
 TEST_CASE("an eligible member with more cores gets more tasks")
 {
     Members members(makeMember("small", "a", 0.3));
