End every waiting request, also when nothing decides it

Cause: SlotPoolManager erased a pool without servers together with its queue, and nobody else ended a request: for a pool of the instance itself the requester has no timer, and ActiveRequest had none for its deadline. Requesters elsewhere learned it only 150 ms before the deadline. The class is a request whose end depends on whatever it waits for.

Change: - ActiveRequest ends itself at its deadline while it waits, and 100 ms later if its sender hasn't. That is independent of allocators, tables and senders. - A slot pool that loses its servers reports its queue as undecided at the next check (20 ms), and so does one whose remaining servers are all excluded for a request. The requester then waits in the queues of the other data centres; a request for a key whose owner is gone waits for the next owner as a new one does. - Waiters for table changes belong to a request and end with it; they were kept until the next change.

--- a/libs/balance/include/amaranthdale/balance/slot_pool.h
+++ b/libs/balance/include/amaranthdale/balance/slot_pool.h
@@ -78,6 +78,11 @@
     /// Decides all requests that can be decided now.
     std::vector<TicketDecision> dispatch(core::TimePoint now);
 
+    /// Removes and returns the waiting requests that no server of the pool may get, however long
+    /// they wait: it has no servers, or each of them is excluded for the request. Another pool may
+    /// serve them.
+    std::vector<Ticket> takeUnservable(core::TimePoint now);
+
     /// Number of requests in the queue.
     std::size_t waiting() const { return this->queue.size(); }
 
@@ -106,6 +111,7 @@
                                        core::TimePoint now);
     ServerLoad *selectServer(const QueuedRequest &entry, core::TimePoint now);
     bool hasFreeSlot(const ServerLoad &load, core::TimePoint now) const;
+    bool mayServe(const ServerLoad &load, const Demand &demand, core::TimePoint now) const;
     core::Duration cost(const ServerLoad &load, const QueuedRequest &entry, core::TimePoint now);
     void admit(const QueuedRequest &entry, ServerLoad &load, core::TimePoint now);
     std::optional<Refuse> refusal(const QueuedRequest &entry, std::size_t queuedAhead,
--- a/libs/balance/src/slot_pool.cpp
+++ b/libs/balance/src/slot_pool.cpp
@@ -184,6 +184,32 @@
     });
 }
 
+// Whether the server may get the request once it has a free slot.
+bool SlotPool::mayServe(const ServerLoad &load, const Demand &demand, core::TimePoint now) const
+{
+    const core::ServerName &name = load.server().name;
+    if (this->isExcluded(load, now))
+        return false;
+    if (demand.owner)
+        return name == *demand.owner;
+    return std::find(demand.tried.begin(), demand.tried.end(), name) == demand.tried.end();
+}
+
+std::vector<Ticket> SlotPool::takeUnservable(core::TimePoint now)
+{
+    std::vector<Ticket> taken;
+    std::erase_if(this->queue, [&](const QueuedRequest &entry) {
+        const bool servable =
+                std::any_of(this->servers.begin(), this->servers.end(), [&](const auto &server) {
+                    return this->mayServe(server.second, entry.demand, now);
+                });
+        if (!servable)
+            taken.push_back(entry.ticket);
+        return !servable;
+    });
+    return taken;
+}
+
 core::Duration SlotPool::cost(const ServerLoad &load, const QueuedRequest &entry,
                               core::TimePoint now)
 {
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -52,7 +52,6 @@
 public:
     Gateway(clock::Clock &gatewayClock, core::HttpSender &httpSender,
             const WireFormat &requestFormat, log::EventLog &eventLog, GatewayLimits gatewayLimits);
-
     std::shared_ptr<core::Exchange> handle(core::HttpRequest request,
                                            core::ResponseHandler respond) override;
 
@@ -117,6 +116,9 @@
     /// Number of requests in progress.
     std::size_t requestsInProgress() const;
 
+    /// Number of requests that continue at the next change of a table.
+    std::size_t requestsAwaitingChange() const;
+
 private:
     friend class ActiveRequest;
 
@@ -144,7 +146,8 @@
     balance::ServiceBalancer &balancerFor(
             std::map<core::ServiceName, balance::ServiceBalancer> &all,
             const core::ServiceName &service) const;
-    void addWaiter(Waiter waiter);
+    void addWaiter(std::uint64_t request, Waiter waiter);
+    void removeWaiter(std::uint64_t request);
     void wakeWaiters();
 
     clock::Clock &clock;
@@ -159,7 +162,8 @@
     mutable tables::Guarded<std::map<core::ServiceName, balance::ServiceBalancer>> balancers;
     // Credits of the smooth weighted round robin, by route and service.
     tables::Guarded<std::map<std::string, std::map<core::ServiceName, double>>> weightCredits;
-    tables::Guarded<std::vector<Waiter>> waiters;
+    /// Called at the next change of a table. By number of a request in progress.
+    tables::Guarded<std::map<std::uint64_t, Waiter>> waiters;
     std::atomic<unsigned> instanceCount{balance::BalancerShare().instances};
     tables::Guarded<ActiveRequests> activeRequests; ///< By number; until the final response.
     std::atomic<std::uint64_t> lastRequestNumber{0};
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -19,6 +19,9 @@
 // Time for the response to arrive from a server that answers exactly at its deadline.
 constexpr auto responseMargin = std::chrono::milliseconds(40);
 
+// An attempt that the sender hasn't ended this long after the deadline is ended here.
+constexpr auto overdueMargin = std::chrono::milliseconds(100);
+
 // No attempt is started with less time left than this.
 constexpr auto minAttemptTime = std::chrono::milliseconds(15);
 
@@ -95,9 +98,47 @@
         this->request.key.reset();
     if (this->request.key)
         this->gateway.countKey(this->service, *this->request.key);
+    this->scheduleDeadline(this->demand.deadline, &ActiveRequest::onDeadline);
     this->startAttempt();
 }
 
+void ActiveRequest::scheduleDeadline(core::TimePoint time, void (ActiveRequest::*onExpiry)())
+{
+    this->gateway.clock.schedule(time, [weak = this->weak_from_this(), onExpiry] {
+        if (const auto self = weak.lock())
+            (self.get()->*onExpiry)();
+    });
+}
+
+// Slot allocators and table changes are expected to decide a request long before its deadline. This
+// doesn't rely on them. An attempt in progress is ended by the sender's own timeout.
+void ActiveRequest::onDeadline()
+{
+    if (this->tryFinish(true)) {
+        this->releaseSlot(balance::AttemptResult::Cancelled, {});
+        return this->deliver(this->sends > 0 ? makeFailure(gatewayTimeoutStatus, "deadline")
+                                             : this->makeRefusal(ownerRetryAfter, "deadline"));
+    }
+    if (!this->isFinished())
+        this->scheduleDeadline(this->demand.deadline + overdueMargin, &ActiveRequest::onOverdue);
+}
+
+void ActiveRequest::onOverdue()
+{
+    std::shared_ptr<core::Exchange> pending;
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->finished)
+            return;
+        this->finished = true;
+        pending = std::move(this->exchange);
+    }
+    this->releaseSlot(balance::AttemptResult::Cancelled, {});
+    this->deliver(makeFailure(gatewayTimeoutStatus, "deadline"));
+    if (pending)
+        pending->cancel();
+}
+
 core::Duration ActiveRequest::timeLeft() const
 {
     return this->demand.deadline - this->gateway.clock.now();
@@ -141,6 +182,13 @@
     });
 }
 
+// True if the owner that the request waited for may serve it no longer.
+bool ActiveRequest::hasLostOwner()
+{
+    return this->demand.owner
+            && this->gateway.findOwner(this->service, *this->request.key) != this->demand.owner;
+}
+
 // Selects a server for a request without a key to a keyed service, whose slots are allocated for
 // each server separately.
 std::optional<core::ServerName> ActiveRequest::pickServer()
@@ -197,7 +245,7 @@
                                                     {});
     if (!decision) {
         this->releaseSlot(balance::AttemptResult::Cancelled, {});
-        return this->chooseLocally();
+        return this->hasLostOwner() ? this->startAttempt() : this->chooseLocally();
     }
     if (const auto *granted = std::get_if<core::ServerName>(&*decision))
         return this->useSlot(*granted);
@@ -268,14 +316,19 @@
                 return;
             ++self->generation;
         }
+        self->gateway.removeWaiter(self->number);
         self->startAttempt();
     };
     this->gateway.clock.schedule(until, proceed);
-    if (this->request.key) {
-        clock::Clock &timers = this->gateway.clock;
-        this->gateway.addWaiter(
-                [proceed, &timers] { timers.schedule(timers.now() + grantDelay, proceed); });
-    }
+    if (!this->request.key)
+        return;
+    clock::Clock &timers = this->gateway.clock;
+    this->gateway.addWaiter(this->number, [proceed, &timers] {
+        timers.schedule(timers.now() + grantDelay, proceed);
+    });
+    // The request may have ended on another thread before the waiter was added.
+    if (this->isFinished())
+        this->gateway.removeWaiter(this->number);
 }
 
 void ActiveRequest::send(const catalog::BackendServer &target)
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -9,7 +9,8 @@
 namespace amaranthdale::gateway {
 
 /// Sends a request to backend servers, at most one at a time, until it is answered, refused or
-/// cancelled. Callbacks may run on any thread. No other lock is taken while `mutex` is held.
+/// cancelled. Whatever it waits for, it ends by itself soon after its deadline. Callbacks may run
+/// on any thread. No other lock is taken while `mutex` is held.
 class ActiveRequest : public core::Exchange, public std::enable_shared_from_this<ActiveRequest>
 {
 public:
@@ -29,9 +30,13 @@
 
 private:
     void start(core::HttpRequest message);
+    void scheduleDeadline(core::TimePoint time, void (ActiveRequest::*onExpiry)());
+    void onDeadline();
+    void onOverdue();
     void startAttempt();
     void chooseLocally();
     bool isOwnerPaused();
+    bool hasLostOwner();
     void requestSlot(const std::optional<core::ServerName> &target);
     void onSlotDecision(unsigned requestGeneration, balance::Ticket ticket,
                         const std::optional<core::ServerName> &target,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -229,16 +229,22 @@
     });
 }
 
-void Gateway::addWaiter(Waiter waiter)
+void Gateway::addWaiter(std::uint64_t request, Waiter waiter)
 {
-    this->waiters.with([&](auto &all) { all.push_back(std::move(waiter)); });
+    this->waiters.with([&](auto &all) { all.insert_or_assign(request, std::move(waiter)); });
+}
+
+void Gateway::removeWaiter(std::uint64_t request)
+{
+    // Destroyed outside the lock: a waiter may hold the last reference to its request.
+    const auto removed = this->waiters.with([request](auto &all) { return all.extract(request); });
 }
 
 void Gateway::wakeWaiters()
 {
-    const auto woken =
-            this->waiters.with([](auto &all) { return std::exchange(all, std::vector<Waiter>()); });
-    for (const Waiter &waiter : woken)
+    const auto woken = this->waiters.with(
+            [](auto &all) { return std::exchange(all, std::map<std::uint64_t, Waiter>()); });
+    for (const auto &[request, waiter] : woken)
         waiter();
 }
 
@@ -272,4 +278,9 @@
     return this->activeRequests.with([](const ActiveRequests &all) { return all.size(); });
 }
 
+std::size_t Gateway::requestsAwaitingChange() const
+{
+    return this->waiters.with([](const auto &all) { return all.size(); });
+}
+
 } // namespace amaranthdale::gateway
--- a/libs/gateway/src/request_outcome.cpp
+++ b/libs/gateway/src/request_outcome.cpp
@@ -154,6 +154,7 @@
 void ActiveRequest::unregister()
 {
     this->gateway.activeRequests.with([this](auto &all) { all.erase(this->number); });
+    this->gateway.removeWaiter(this->number);
 }
 
 void ActiveRequest::refuseIfWaiting()
--- a/libs/slots/src/slot_coordinator.cpp
+++ b/libs/slots/src/slot_coordinator.cpp
@@ -77,6 +77,7 @@
             pending.service = service;
             pending.demand = demand;
             pending.steps = this->planSteps(service, server);
+            pending.mayQueueElsewhere = !server;
             pending.queueDeadline = demand.deadline - this->options.queueDeadlineMargin;
         }
         this->tryNextStep(ticket, std::nullopt);
@@ -121,6 +122,7 @@
         std::vector<Step> steps;                    // Remaining steps; the last one is tried first.
         std::optional<membership::Member> assignee; // Of the current step.
         unsigned step = 0;                          // Number of the current step.
+        bool mayQueueElsewhere = false; // In other data centres, if its own has no servers.
         bool queued = false;
         core::TimePoint queueDeadline{}; // After it, a queued request is decided locally.
     };
@@ -348,9 +350,37 @@
                                     balance::Refuse{refused->retryAfter, refused->reason});
         if (std::holds_alternative<SlotPoolUnavailable>(message->content))
             this->avoidAssignee(from, ticket);
+        else
+            this->planOtherQueues(from, ticket);
         this->onDecision(from, ticket, std::nullopt);
     }
 
+    // The last pool to ask has no server for the request, or lost them while it waited. Adds the
+    // queues of the other data centres: each instance that selects a server by itself instead would
+    // exceed the slots there.
+    void planOtherQueues(const std::optional<core::Endpoint> &from, Ticket ticket)
+    {
+        std::lock_guard lock(this->mutex);
+        const auto found = this->pendingRequests.find(ticket);
+        if (found == this->pendingRequests.end() || !this->isExpected(found->second, from))
+            return;
+        PendingRequest &pending = found->second;
+        if (!pending.steps.empty() || !std::exchange(pending.mayQueueElsewhere, false))
+            return;
+        for (const core::DataCentreName &dataCentre : this->members.dataCentres()) {
+            if (dataCentre != this->members.self().dataCentre)
+                pending.steps.push_back(
+                        Step{PoolKey{pending.service, std::nullopt, dataCentre}, true});
+        }
+    }
+
+    // False for a late response to an earlier step. `from` is unset for this instance itself.
+    bool isExpected(const PendingRequest &pending, const std::optional<core::Endpoint> &from) const
+    {
+        return pending.handler && pending.assignee
+                && from.value_or(this->members.self().peer) == pending.assignee->peer;
+    }
+
     void recordResponse(Ticket ticket)
     {
         std::lock_guard lock(this->mutex);
@@ -377,10 +407,8 @@
         {
             std::lock_guard lock(this->mutex);
             const auto found = this->pendingRequests.find(ticket);
-            // A late response may belong to an earlier step.
-            expected = found != this->pendingRequests.end() && found->second.handler
-                    && found->second.assignee
-                    && from.value_or(this->members.self().peer) == found->second.assignee->peer;
+            expected =
+                    found != this->pendingRequests.end() && this->isExpected(found->second, from);
             if (expected && granted)
                 handler = std::exchange(found->second.handler, nullptr);
         }
@@ -433,8 +461,11 @@
 
     void sendNoDecision(const Requester &requester, NoDecision reason)
     {
-        if (!requester.endpoint)
+        if (!requester.endpoint) {
+            if (reason == NoDecision::NoServers)
+                this->planOtherQueues(std::nullopt, requester.ticket);
             return this->onDecision(std::nullopt, requester.ticket, std::nullopt);
+        }
         SlotMessage message{requester.ticket, SlotPoolEmpty{}};
         if (reason == NoDecision::Stopping)
             message.content = SlotPoolUnavailable{};
--- a/libs/slots/src/slot_pool_manager.cpp
+++ b/libs/slots/src/slot_pool_manager.cpp
@@ -31,35 +31,44 @@
 
 } // namespace
 
-// Returns the pool of `key`, updated to the current directory, or null if it has no servers.
+// Returns the pool of `key`, updated to the current directory, or null if it has no servers. A pool
+// in which requests wait stays in the table until `dispatch` has taken them out.
 SlotPoolManager::Pool *SlotPoolManager::findOrCreatePool(const PoolKey &key, core::TimePoint now)
 {
     const auto [entry, added] = this->pools.try_emplace(key, ++this->lastSeed);
     Pool &pool = entry->second;
-    const std::uint64_t version = this->gateway.directoryVersion();
-    if (added || pool.directoryVersion != version) {
-        const auto service = this->gateway.findService(key.service);
-        catalog::BackendServers servers;
-        if (service) {
-            pool.slots.setService(*service);
-            servers = this->gateway.usableServers(key.service);
-        }
-        std::erase_if(servers, [&key](const catalog::BackendServer &server) {
-            return key.server ? server.name != *key.server : server.dataCentre != key.dataCentre;
-        });
-        pool.slots.setServers(servers, now);
-        pool.directoryVersion = version;
-        if (servers.empty()) {
+    if (!this->updateServers(pool, key, now)) {
+        if (pool.slots.waiting() == 0)
             this->pools.erase(entry);
-            return nullptr;
-        }
-        if (added)
-            this->reportOpened(key, servers, now);
+        return nullptr;
     }
     this->checkAssignment(pool, key, now);
     return &pool;
 }
 
+// Updates a pool to the current directory. Returns whether it has servers.
+bool SlotPoolManager::updateServers(Pool &pool, const PoolKey &key, core::TimePoint now)
+{
+    const std::uint64_t version = this->gateway.directoryVersion();
+    if (pool.directoryVersion == version)
+        return pool.hasServers;
+    const auto service = this->gateway.findService(key.service);
+    catalog::BackendServers servers;
+    if (service) {
+        pool.slots.setService(*service);
+        servers = this->gateway.usableServers(key.service);
+    }
+    std::erase_if(servers, [&key](const catalog::BackendServer &server) {
+        return key.server ? server.name != *key.server : server.dataCentre != key.dataCentre;
+    });
+    pool.slots.setServers(servers, now);
+    pool.hasServers = !servers.empty();
+    if (pool.directoryVersion == 0 && pool.hasServers)
+        this->reportOpened(key, servers, now);
+    pool.directoryVersion = version;
+    return pool.hasServers;
+}
+
 void SlotPoolManager::checkAssignment(Pool &pool, const PoolKey &key, core::TimePoint now)
 {
     if (!pool.slots.hasColdServers(now) || now < pool.assignmentCheckedAt + assignmentCheckInterval)
@@ -85,7 +94,7 @@
 {
     const core::TimePoint now = this->clock.now();
     const PoolKey key{request.service, request.server, request.poolDataCentre};
-    Decisions decisions;
+    Results results;
     bool available = false;
     bool queued = false;
     {
@@ -101,9 +110,9 @@
             this->tickets[requester] = poolTicket;
             pool->slots.request(poolTicket, makeDemand(request, now), request.requesterDataCentre,
                                 request.mayWait, now);
-            decisions = this->dispatch(*pool, key, now);
+            this->dispatch(key, now, results);
             queued = this->tickets.contains(requester)
-                    && std::none_of(decisions.begin(), decisions.end(),
+                    && std::none_of(results.decided.begin(), results.decided.end(),
                                     [&](const auto &entry) { return entry.first == requester; });
         }
     }
@@ -112,7 +121,7 @@
                                   this->stopped ? NoDecision::Stopping : NoDecision::NoServers);
     if (queued)
         this->callbacks.queued(requester);
-    this->notifyAll(std::move(decisions));
+    this->notifyAll(std::move(results));
 }
 
 // Removes requests whose release was lost.
@@ -129,41 +138,61 @@
 void SlotPoolManager::handleRelease(const Requester &requester, const SlotRelease &release)
 {
     const core::TimePoint now = this->clock.now();
-    Decisions decisions;
+    Results results;
     {
         std::lock_guard lock(this->mutex);
         const auto ticket = this->tickets.find(requester);
         if (ticket == this->tickets.end())
             return;
-        const auto active = this->activeRequests.find(ticket->second);
+        const Ticket poolTicket = ticket->second;
+        const auto active = this->activeRequests.find(poolTicket);
         const PoolKey key = active->second.pool;
+        this->activeRequests.erase(active);
+        this->tickets.erase(ticket);
         const auto pool = this->pools.find(key);
         if (pool != this->pools.end()) {
-            pool->second.slots.release(ticket->second, release.result, release.elapsed,
-                                       release.report, now);
-            decisions = this->dispatch(pool->second, key, now);
+            pool->second.slots.release(poolTicket, release.result, release.elapsed, release.report,
+                                       now);
+            this->dispatch(key, now, results);
         }
-        this->activeRequests.erase(active);
-        this->tickets.erase(requester);
     }
-    this->notifyAll(std::move(decisions));
+    this->notifyAll(std::move(results));
 }
 
-// Granted requests stay in `activeRequests` until their release.
-SlotPoolManager::Decisions SlotPoolManager::dispatch(Pool &pool, const PoolKey &key,
-                                                     core::TimePoint now)
+// Decides the waiting requests of a pool as far as possible. Granted requests stay in
+// `activeRequests` until their release. Removes the pool if it has no servers any more.
+void SlotPoolManager::dispatch(const PoolKey &key, core::TimePoint now, Results &results)
 {
-    Decisions decisions;
+    const auto found = this->pools.find(key);
+    if (found == this->pools.end())
+        return;
+    Pool &pool = found->second;
+    const bool hasServers = this->updateServers(pool, key, now);
+    const auto end = [this](Ticket ticket) -> std::optional<Requester> {
+        const auto active = this->activeRequests.find(ticket);
+        if (active == this->activeRequests.end())
+            return std::nullopt;
+        const Requester requester = active->second.requester;
+        this->activeRequests.erase(active);
+        this->tickets.erase(requester);
+        return requester;
+    };
+    for (const Ticket ticket : pool.slots.takeUnservable(now)) {
+        if (const auto requester = end(ticket))
+            results.undecided.push_back(*requester);
+    }
     for (balance::TicketDecision &ticketDecision : pool.slots.dispatch(now)) {
         const auto active = this->activeRequests.find(ticketDecision.ticket);
         if (active == this->activeRequests.end())
             continue;
         const Requester requester = active->second.requester;
-        if (std::holds_alternative<balance::Refuse>(ticketDecision.decision)) {
-            this->activeRequests.erase(active);
-            this->tickets.erase(requester);
-        }
-        decisions.emplace_back(requester, std::move(ticketDecision.decision));
+        if (std::holds_alternative<balance::Refuse>(ticketDecision.decision))
+            end(ticketDecision.ticket);
+        results.decided.emplace_back(requester, std::move(ticketDecision.decision));
+    }
+    if (!hasServers) {
+        this->pools.erase(found);
+        return;
     }
     if (pool.slots.waiting() > 0 && !pool.tickScheduled) {
         pool.tickScheduled = true;
@@ -172,28 +201,29 @@
                 self->onTick(key);
         });
     }
-    return decisions;
 }
 
 void SlotPoolManager::onTick(const PoolKey &key)
 {
     const core::TimePoint now = this->clock.now();
-    Decisions decisions;
+    Results results;
     {
         std::lock_guard lock(this->mutex);
         const auto found = this->pools.find(key);
         if (found == this->pools.end())
             return;
         found->second.tickScheduled = false;
-        decisions = this->dispatch(found->second, key, now);
+        this->dispatch(key, now, results);
     }
-    this->notifyAll(std::move(decisions));
+    this->notifyAll(std::move(results));
 }
 
-void SlotPoolManager::notifyAll(Decisions decisions)
+void SlotPoolManager::notifyAll(Results results)
 {
-    for (auto &[requester, decision] : decisions)
+    for (auto &[requester, decision] : results.decided)
         this->callbacks.decided(requester, std::move(decision));
+    for (const Requester &requester : results.undecided)
+        this->callbacks.undecided(requester, NoDecision::NoServers);
 }
 
 } // namespace amaranthdale::slots
--- a/libs/slots/src/slot_pool_manager.h
+++ b/libs/slots/src/slot_pool_manager.h
@@ -46,8 +46,9 @@
     NoServers, ///< The pool has no server that this instance may use.
 };
 
-/// Allocates slots of the servers in the gateway's directory to this and other instances. An
-/// instance that isn't assigned to a pool allocates its slots too when requesters suspect the
+/// Allocates slots of the servers in the gateway's directory to this and other instances. Each
+/// request is granted, refused or reported as undecided; one whose servers leave while it waits is
+/// reported within the check interval. An instance that isn't assigned to a pool allocates its slots too when requesters suspect the
 /// assigned one, but uses no cold servers: any number of instances may be asked at once, and
 /// together they would exceed the warm-up rate.
 /// Thread-safe.
@@ -87,6 +88,7 @@
 
         balance::SlotPool slots;
         std::uint64_t directoryVersion = 0; ///< Of the servers in `slots`; 0: not loaded.
+        bool hasServers = false;
         bool tickScheduled = false;
         core::TimePoint assignmentCheckedAt{};
     };
@@ -98,18 +100,24 @@
         core::TimePoint expiresAt{}; ///< If not released by then, the release was lost.
     };
 
-    using Decisions = std::vector<std::pair<Requester, balance::SlotDecision>>;
+    // Results to report once the lock is released.
+    struct Results
+    {
+        std::vector<std::pair<Requester, balance::SlotDecision>> decided;
+        std::vector<Requester> undecided; ///< Waited for servers that are gone.
+    };
 
-    // These five are called with the lock held.
+    // These are called with the lock held.
     void reportOpened(const PoolKey &key, const catalog::BackendServers &servers,
                       core::TimePoint now);
     Pool *findOrCreatePool(const PoolKey &key, core::TimePoint now);
+    bool updateServers(Pool &pool, const PoolKey &key, core::TimePoint now);
     void checkAssignment(Pool &pool, const PoolKey &key, core::TimePoint now);
-    Decisions dispatch(Pool &pool, const PoolKey &key, core::TimePoint now);
+    void dispatch(const PoolKey &key, core::TimePoint now, Results &results);
     void removeExpired(core::TimePoint now);
 
     void onTick(const PoolKey &key);
-    void notifyAll(Decisions decisions);
+    void notifyAll(Results results);
 
     clock::Clock &clock;
     log::EventLog &events;
