Order the entries of a server by incarnation and sequence

Cause: a record that doesn't know its order. The registry executed a heartbeat seconds after its answer was lost. The entry's `sequence` was not read, and the directory took any entry of the same incarnation for newer.

The order of up to 4096 removed servers is kept. A sequence that stays lower for 30 s, longer than a write can be late, counts as a new count, so that one odd entry excludes no server for good. Entries of an earlier incarnation: the same entry read twice, or two late ones, no longer count as a restart with a set-back clock.

--- a/libs/catalog/include/amaranthdale/catalog/directory.h
+++ b/libs/catalog/include/amaranthdale/catalog/directory.h
@@ -24,7 +24,9 @@
     bool draining = false; ///< Shutting down; gets no new requests.
     bool leaving = false;  ///< Said itself that it is shutting down; serves only keys that it owns.
     std::uint64_t incarnation = 0; ///< Differs between process runs under the same name.
-    core::TimePoint coldUntil{};   ///< Sustains only light load before this time.
+    /// Orders what one incarnation says of itself; unset if it doesn't number its entries.
+    std::optional<std::uint64_t> sequence;
+    core::TimePoint coldUntil{}; ///< Sustains only light load before this time.
 
     bool operator==(const BackendServer &) const = default;
 };
@@ -32,14 +34,25 @@
 using BackendServers = std::vector<BackendServer>;
 
 /// The effect of an update on a server entry.
-enum class DirectoryChange { None, Added, Restarted, Updated, Removed };
+enum class DirectoryChange {
+    None,
+    Added,
+    Restarted,
+    Updated,
+    Removed,
+    Outdated, ///< Nothing changed: the server has said something newer.
+};
 
 /// The known servers and the drained data centres. Not thread-safe.
+///
+/// The registry may execute a write long after the server has given it up and written something
+/// newer. Entries are ordered by incarnation, then by sequence, and an entry older than the newest
+/// one that was announced changes nothing, even if the server has been removed since.
 class Directory
 {
 public:
-    /// Adds or updates a server.
-    DirectoryChange announce(BackendServer server);
+    /// Adds or updates a server with an entry that was read at `now`.
+    DirectoryChange announce(BackendServer server, core::TimePoint now = {});
 
     /// Removes a server. Within `reregistrationGrace` after `outageEnded`, the removal of a server
     /// that is not draining is delayed by up to `removalDelay`, because its entry may have expired
@@ -100,13 +113,34 @@
     /// Marks of servers that have left the registry are kept as well, since an entry may reappear.
     static constexpr std::size_t maxLeavingMarks = 4096;
 
+    /// The registry executes a write at most some seconds late (6 s, registry's specification). A
+    /// server whose sequence has been lower for longer than this has started to count anew.
+    static constexpr core::Duration maxWriteDelay = std::chrono::seconds(30);
+
+    /// Removed servers whose newest entry is remembered.
+    static constexpr std::size_t maxRemovedServers = 4096;
+
+    /// Entries of earlier incarnations that are remembered.
+    static constexpr std::size_t maxOlderIncarnations = 4096;
+
 private:
+    // Order of the newest entry that was announced.
+    struct NewestEntry
+    {
+        std::uint64_t incarnation = 0;
+        std::optional<std::uint64_t> sequence;
+        core::TimePoint readAt{};
+    };
+
     struct LeavingMark
     {
         std::uint64_t incarnation = 0;
         core::TimePoint since{};
     };
 
+    bool isOutdated(const BackendServer &server, core::TimePoint now) const;
+    bool isDelayedIncarnation(const BackendServer &server, core::TimePoint now);
+    void rememberNewest(const BackendServer &server, core::TimePoint now);
     bool hasMark(const core::ServerName &name, std::uint64_t incarnation) const;
     void dropOldestMark();
 
@@ -115,8 +149,11 @@
     std::map<core::ServerName, LeavingMark> leavingMarks;
     // Servers removed during the grace period, with the time at which the removal takes effect.
     std::map<core::ServerName, core::TimePoint> delayedRemovals;
-    // Incarnations announced once while a higher incarnation of the server was known.
-    std::set<std::pair<core::ServerName, std::uint64_t>> olderIncarnations;
+    // Of all known servers, and of up to `maxRemovedServers` removed ones.
+    std::map<core::ServerName, NewestEntry> newestEntries;
+    // Incarnations announced once after a higher incarnation of the server, with the sequence.
+    std::map<std::pair<core::ServerName, std::uint64_t>, std::optional<std::uint64_t>>
+            olderIncarnations;
     std::set<core::DataCentreName> drained;
     core::TimePoint graceEnd{};
 };
--- a/libs/catalog/src/directory.cpp
+++ b/libs/catalog/src/directory.cpp
@@ -5,9 +5,16 @@
 
 namespace amaranthdale::catalog {
 
-DirectoryChange Directory::announce(BackendServer server)
+DirectoryChange Directory::announce(BackendServer server, core::TimePoint now)
 {
+    if (this->isOutdated(server, now))
+        return DirectoryChange::Outdated;
+    if (this->isDelayedIncarnation(server, now))
+        return DirectoryChange::None;
+    this->olderIncarnations.erase(this->olderIncarnations.lower_bound({server.name, 0}),
+                                  this->olderIncarnations.upper_bound({server.name, UINT64_MAX}));
     this->delayedRemovals.erase(server.name);
+    this->rememberNewest(server, now);
     server.leaving = this->hasMark(server.name, server.incarnation);
     const auto found = this->servers.find(server.name);
     if (found == this->servers.end()) {
@@ -15,17 +22,6 @@
         return DirectoryChange::Added;
     }
     BackendServer &known = found->second;
-    if (known.incarnation > server.incarnation) {
-        // Either a delayed announcement of an earlier run, or a new run that got a lower
-        // incarnation because the wall clock of its host was set back. Only the latter is announced
-        // again.
-        const auto [position, inserted] =
-                this->olderIncarnations.insert({server.name, server.incarnation});
-        if (inserted)
-            return DirectoryChange::None;
-    }
-    this->olderIncarnations.erase(this->olderIncarnations.lower_bound({server.name, 0}),
-                                  this->olderIncarnations.upper_bound({server.name, UINT64_MAX}));
     const bool restarted = known.incarnation != server.incarnation;
     if (known == server)
         return DirectoryChange::None;
@@ -33,6 +29,52 @@
     return restarted ? DirectoryChange::Restarted : DirectoryChange::Updated;
 }
 
+bool Directory::isOutdated(const BackendServer &server, core::TimePoint now) const
+{
+    const auto newest = this->newestEntries.find(server.name);
+    return newest != this->newestEntries.end() && newest->second.incarnation == server.incarnation
+            && newest->second.sequence && server.sequence
+            && *server.sequence < *newest->second.sequence
+            && now < newest->second.readAt + maxWriteDelay;
+}
+
+// An entry of an earlier incarnation is either a delayed one, or that of a new run whose host had
+// its wall clock set back. Only the latter writes again, and goes on after all writes of the earlier
+// run must have been executed.
+bool Directory::isDelayedIncarnation(const BackendServer &server, core::TimePoint now)
+{
+    const auto newest = this->newestEntries.find(server.name);
+    if (newest == this->newestEntries.end() || newest->second.incarnation <= server.incarnation)
+        return false;
+    if (this->olderIncarnations.size() >= maxOlderIncarnations)
+        this->olderIncarnations.clear();
+    const auto [earlier, inserted] = this->olderIncarnations.try_emplace(
+            {server.name, server.incarnation}, server.sequence);
+    if (inserted)
+        return true;
+    if (!earlier->second || !server.sequence)
+        return false;
+    return *server.sequence <= *earlier->second || now < newest->second.readAt + maxWriteDelay;
+}
+
+void Directory::rememberNewest(const BackendServer &server, core::TimePoint now)
+{
+    this->newestEntries.insert_or_assign(server.name,
+                                         NewestEntry{server.incarnation, server.sequence, now});
+    if (this->newestEntries.size() <= this->servers.size() + maxRemovedServers)
+        return;
+    auto oldest = this->newestEntries.end();
+    for (auto entry = this->newestEntries.begin(); entry != this->newestEntries.end(); ++entry) {
+        const bool known = this->servers.contains(entry->first) || entry->first == server.name;
+        if (!known
+            && (oldest == this->newestEntries.end()
+                || entry->second.readAt < oldest->second.readAt))
+            oldest = entry;
+    }
+    if (oldest != this->newestEntries.end())
+        this->newestEntries.erase(oldest);
+}
+
 DirectoryChange Directory::remove(const core::ServerName &name, core::TimePoint now)
 {
     const auto found = this->servers.find(name);
--- a/libs/control/src/key_control.cpp
+++ b/libs/control/src/key_control.cpp
@@ -122,10 +122,12 @@
 
 void KeyControl::publish()
 {
-    const auto assignment = this->state.with(
-            [](const State &current) { return current.leaseManager.assignment(); });
+    // Another thread may read a newer record and publish it first.
+    const auto [assignment, logEnd] = this->state.with([](const State &current) {
+        return std::pair(current.leaseManager.assignment(), current.leaseManager.logEnd());
+    });
     if (assignment)
-        this->parts.gateway.setAssignment(this->service, *assignment);
+        this->parts.gateway.setAssignment(this->service, *assignment, logEnd);
 }
 
 void KeyControl::scheduleTick()
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -75,8 +75,10 @@
     /// announces another incarnation.
     void markLeaving(const core::ServerName &server, std::uint64_t incarnation);
 
-    /// Replaces the assignment of a service's keys.
-    void setAssignment(const core::ServiceName &service, keyspace::Assignment assignment);
+    /// Replaces the assignment of a service's keys unless `logEnd`, the end of the log when it was
+    /// the newest record, is lower than that of the current one.
+    void setAssignment(const core::ServiceName &service, keyspace::Assignment assignment,
+                       std::uint64_t logEnd = 0);
 
     /// Sets the number of instances that shared limits and retry budgets are divided by.
     void setInstanceCount(unsigned instances);
@@ -125,6 +127,7 @@
     struct KeyedService
     {
         std::shared_ptr<const keyspace::Assignment> assignment;
+        std::uint64_t assignmentLogEnd = 0; ///< Never decreases.
         std::unordered_map<keyspace::Key, std::uint32_t> counts;
     };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -148,10 +148,17 @@
         this->refreshBalancers();
 }
 
-void Gateway::setAssignment(const core::ServiceName &service, keyspace::Assignment assignment)
+void Gateway::setAssignment(const core::ServiceName &service, keyspace::Assignment assignment,
+                            std::uint64_t logEnd)
 {
     auto shared = std::make_shared<const keyspace::Assignment>(std::move(assignment));
-    this->ownership.with([&](auto &services) { services[service].assignment = std::move(shared); });
+    this->ownership.with([&](auto &services) {
+        KeyedService &current = services[service];
+        if (logEnd < current.assignmentLogEnd)
+            return;
+        current.assignment = std::move(shared);
+        current.assignmentLogEnd = logEnd;
+    });
     this->wakeWaiters();
 }
 
--- a/libs/relay/src/newest_records.cpp
+++ b/libs/relay/src/newest_records.cpp
@@ -26,6 +26,10 @@
     for (const Record &record : batch.records) {
         if (record.offset < this->nextOffset)
             continue;
+        // The pages of a snapshot are read one after another, so a later one may be ahead.
+        const auto known = this->newest.find(record.key);
+        if (known != this->newest.end() && known->second.offset > record.offset)
+            continue;
         if (record.value)
             this->newest[record.key] = record;
         else
