--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -107,6 +107,9 @@
 
 /// A response with a complete body of type `contentType`.
 HttpResponse makeResponse(unsigned status, std::string body,
+    /// False if an earlier request was answered on the connection: without a correlation header,
+    /// this may be a late copy of that response.
+    bool firstOnConnection = true;
                           std::string contentType = "application/json");
 
 using ResponseHandler = std::function<void(Outcome<HttpResponse>)>;
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -308,6 +308,7 @@
     result.headers = toHeaders(message);
     result.skippedResponses = this->skippedResponses;
     // A response that doesn't name its request may be the response to another one.
+    result.firstOnConnection = !this->reused && this->skippedResponses == 0;
     if (this->current->correlationHeader
         && !core::findHeader(result.headers, this->current->correlationHeader->name))
         this->mustClose = true;
--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -488,3 +488,23 @@
     work.reset();
     worker.join();
 }
+
+TEST_CASE("client: a response tells whether another one may have come before it on its connection")
+{
+    Workers workers;
+    auto client = http::makeBackendClient(workers.context);
+    RawServer server;
+    std::thread serverThread([&server] {
+        RawSocket connection(server.acceptor);
+        for (int request = 0; request < 2; ++request) {
+            connection.readUntil("\r\n\r\n");
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    for (const bool first : {true, false}) {
+        const auto outcome = sendAndWait(*client, server.endpoint(), {"GET", "/", {}, {}});
+        REQUIRE(outcome);
+        CHECK(outcome->firstOnConnection == first);
+    }
+    serverThread.join();
+}
