Bound every exchange by size and time, also in total

Users' report: a server sent bytes that were no answer without end, and the process that had called it ran out of memory.

What was found for each exchange: - Requests: a head, a chunk size, a trailer and skipped responses were bounded already. Each body was buffered up to 1 MiB, but not all of them together: 160 endless bodies, or as many callers that don't read, exceed the memory of the smallest instances. Now 24 MiB for all; beyond it, responses are forwarded as they arrive. HttpRequest::completionTimeout bounds the whole response. - Grants and releases: the body isn't read, the connection closes. Shown by test, nothing changed. - Health checks: instances send none. - Slow callers: bodies of up to 64 MB each were kept without a common bound.

--- a/libs/catalog/src/directory.cpp
+++ b/libs/catalog/src/directory.cpp
@@ -39,8 +39,8 @@
 }
 
 // An entry of an earlier incarnation is either a delayed one, or that of a new run whose host had
-// its wall clock set back. Only the latter writes again, and goes on after all writes of the earlier
-// run must have been executed.
+// its wall clock set back. Only the latter writes again, and goes on after all writes of the
+// earlier run must have been executed.
 bool Directory::isDelayedIncarnation(const BackendServer &server, core::TimePoint now)
 {
     const auto newest = this->newestEntries.find(server.name);
@@ -48,8 +48,8 @@
         return false;
     if (this->olderIncarnations.size() >= maxOlderIncarnations)
         this->olderIncarnations.clear();
-    const auto [earlier, inserted] = this->olderIncarnations.try_emplace(
-            {server.name, server.incarnation}, server.sequence);
+    const auto [earlier, inserted] =
+            this->olderIncarnations.try_emplace({server.name, server.incarnation}, server.sequence);
     if (inserted)
         return true;
     if (!earlier->second || !server.sequence)
--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -65,6 +65,10 @@
     /// Sends the request as the first one on a connection. Nothing that a server may still send in
     /// response to an earlier request can then be taken for the response to this one.
     bool newConnection = false;
+
+    /// Time up to the end of the response body. Unset: only each wait for body data is bounded, and
+    /// a body that arrives slowly without end must be given up by its reader.
+    std::optional<Duration> completionTimeout = std::nullopt;
 };
 
 /// A chunk of a response body.
@@ -103,13 +107,13 @@
     std::optional<std::uint64_t> contentLength; ///< Bytes; unset if not known in advance.
     std::shared_ptr<BodyReader> body;           ///< Never null.
     unsigned skippedResponses = 0;              ///< Responses to other requests that preceded it.
+    /// False if an earlier request was answered on the connection: without a correlation header,
+    /// this may be a late copy of that response.
+    bool firstOnConnection = true;
 };
 
 /// A response with a complete body of type `contentType`.
 HttpResponse makeResponse(unsigned status, std::string body,
-    /// False if an earlier request was answered on the connection: without a correlation header,
-    /// this may be a late copy of that response.
-    bool firstOnConnection = true;
                           std::string contentType = "application/json");
 
 using ResponseHandler = std::function<void(Outcome<HttpResponse>)>;
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -26,6 +26,7 @@
 namespace amaranthdale::gateway {
 
 class ActiveRequest;
+class BufferBudget;
 
 /// Settings of a gateway.
 struct GatewayLimits
@@ -37,6 +38,9 @@
     /// Responses up to this size are buffered completely before the first byte is forwarded, so
     /// that a request whose response is cut off can be retried.
     std::size_t maxBufferedBytes = 1024 * 1024;
+    /// Bound for what all requests buffer together. Beyond it, responses are forwarded as they
+    /// arrive. The smallest instances have 160 MB.
+    std::size_t maxTotalBufferedBytes = 24 * 1024 * 1024;
     /// Timeout of requests that don't specify one; the timeout of the route still applies.
     core::Duration defaultTimeout = std::chrono::seconds(30);
     /// The owner of a key still gets requests for this long after it has said that it is leaving,
@@ -52,6 +56,7 @@
 public:
     Gateway(clock::Clock &gatewayClock, core::HttpSender &httpSender,
             const WireFormat &requestFormat, log::EventLog &eventLog, GatewayLimits gatewayLimits);
+
     std::shared_ptr<core::Exchange> handle(core::HttpRequest request,
                                            core::ResponseHandler respond) override;
 
@@ -118,6 +123,9 @@
     /// Number of requests in progress.
     std::size_t requestsInProgress() const;
 
+    /// Size of the response bodies that are buffered.
+    std::size_t bufferedBytes() const;
+
     /// Number of requests that continue at the next change of a table.
     std::size_t requestsAwaitingChange() const;
 
@@ -175,6 +183,7 @@
     std::atomic<std::uint64_t> changeCount{1};
     SlotAllocator *slotAllocator = nullptr;
     Statistics stats;
+    const std::shared_ptr<BufferBudget> buffers;
 };
 
 } // namespace amaranthdale::gateway
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -450,24 +450,21 @@
     auto body = response.body;
     const unsigned attemptGeneration = this->generation.load();
     const core::TimePoint bodyDeadline = this->demand.deadline + responseMargin;
-    readPrefix(
-            std::move(body), std::make_shared<std::string>(), this->gateway.limits.maxBufferedBytes,
-            [self = this->shared_from_this(), attemptGeneration, bodyDeadline,
-             response = std::move(response)](core::Outcome<BodyPrefix> prefix) mutable {
-                if (attemptGeneration != self->generation || self->isFinished())
-                    return self->endAttempt(balance::AttemptResult::Cancelled);
-                if (!prefix)
-                    return self->onBodyError(prefix.error());
-                self->endAttempt(balance::AttemptResult::Answered);
-                if (prefix->complete) {
-                    response.contentLength = prefix->text.size();
-                    response.body = core::makeStringBody(std::move(prefix->text));
-                } else {
-                    response.body = joinBody(std::move(prefix->text), std::move(response.body),
-                                             self->gateway.clock, bodyDeadline + maxStreamOverrun);
-                }
-                self->finish({std::move(response), "answered", ""});
-            });
+    readPrefix(std::move(body), this->gateway.limits.maxBufferedBytes, this->gateway.buffers,
+               [self = this->shared_from_this(), attemptGeneration, bodyDeadline,
+                response = std::move(response)](core::Outcome<BodyPrefix> prefix) mutable {
+                   if (attemptGeneration != self->generation || self->isFinished())
+                       return self->endAttempt(balance::AttemptResult::Cancelled);
+                   if (!prefix)
+                       return self->onBodyError(prefix.error());
+                   self->endAttempt(balance::AttemptResult::Answered);
+                   if (prefix->complete)
+                       response.contentLength = prefix->text.size();
+                   const auto rest = prefix->complete ? nullptr : std::move(response.body);
+                   response.body = joinBody(std::move(*prefix), rest, self->gateway.clock,
+                                            bodyDeadline + maxStreamOverrun);
+                   self->finish({std::move(response), "answered", ""});
+               });
     if (attemptGeneration == this->generation && !this->isFinished())
         this->scheduleBodyDeadline(attemptGeneration, bodyDeadline);
 }
@@ -514,6 +511,8 @@
     }
     if (impliesNotRun(response.status))
         return this->fail(badGateway, "server-status-" + std::to_string(response.status));
+    response.body = joinBody({}, std::move(response.body), this->gateway.clock,
+                             this->demand.deadline + responseMargin + maxStreamOverrun);
     this->finish({std::move(response), "failed", "server-failed"});
 }
 
--- a/libs/gateway/src/body_prefix.h
+++ b/libs/gateway/src/body_prefix.h
@@ -1,6 +1,8 @@
 // Buffering of the beginning of a response body before the response is forwarded.
 #pragma once
 
+#include "buffer_budget.h"
+
 #include "amaranthdale/clock/clock.h"
 #include "amaranthdale/core/message.h"
 
@@ -15,15 +17,18 @@
 {
     std::string text;
     bool complete = false;
+    std::shared_ptr<BufferShare> share; ///< Held while `text` is in memory.
 };
 
-/// Reads to the end of the body, or until more than `limit` bytes were read.
-void readPrefix(std::shared_ptr<core::BodyReader> body, std::shared_ptr<std::string> text,
-                std::size_t limit, std::function<void(core::Outcome<BodyPrefix>)> handler);
+/// Reads to the end of the body, until more than `limit` bytes were read, or until `budget` is used
+/// up by this and other bodies.
+void readPrefix(std::shared_ptr<core::BodyReader> body, std::size_t limit,
+                std::shared_ptr<BufferBudget> budget,
+                std::function<void(core::Outcome<BodyPrefix>)> handler);
 
-/// Returns the part that was already read, then the rest of the body. Fails with Timeout from
-/// `expiry` on: a body without end would otherwise occupy its connections for good.
-std::shared_ptr<core::BodyReader> joinBody(std::string prefix,
+/// Returns the part that was already read, then the rest of the body, if `rest` is set. Fails with
+/// Timeout from `expiry` on: a body without end would otherwise occupy its connections for good.
+std::shared_ptr<core::BodyReader> joinBody(BodyPrefix prefix,
                                            std::shared_ptr<core::BodyReader> rest,
                                            clock::Clock &clock, core::TimePoint expiry);
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -2,6 +2,7 @@
 #include "amaranthdale/gateway/gateway.h"
 
 #include "active_request.h"
+#include "buffer_budget.h"
 
 #include <algorithm>
 
@@ -16,7 +17,8 @@
       limits(std::move(gatewayLimits)), configuration(LockRank::Configuration),
       directory(LockRank::Membership), ownership(LockRank::Ownership),
       balancers(LockRank::BackendServers), weightCredits(LockRank::Requests),
-      waiters(LockRank::Requests), activeRequests(LockRank::Requests)
+      waiters(LockRank::Requests), activeRequests(LockRank::Requests),
+      buffers(std::make_shared<BufferBudget>(this->limits.maxTotalBufferedBytes))
 { }
 
 std::shared_ptr<core::Exchange> Gateway::handle(core::HttpRequest request,
@@ -285,6 +287,11 @@
     return this->activeRequests.with([](const ActiveRequests &all) { return all.size(); });
 }
 
+std::size_t Gateway::bufferedBytes() const
+{
+    return this->buffers->used();
+}
+
 std::size_t Gateway::requestsAwaitingChange() const
 {
     return this->waiters.with([](const auto &all) { return all.size(); });
--- a/libs/gateway/tests/server_state_test.cpp
+++ b/libs/gateway/tests/server_state_test.cpp
@@ -291,3 +291,61 @@
     test.response->body->read(onChunk);
     CHECK(failed);
 }
+
+// Servers that send bodies without end to many requests filled the memory of the instance.
+TEST_CASE("the bodies of all requests together are buffered up to a limit, then forwarded")
+{
+    constexpr unsigned requests = 64;
+    constexpr std::size_t chunkBytes = 64 * 1024;
+    const GatewayLimits limits;
+    Fixture test;
+    std::vector<std::shared_ptr<EndlessBody>> bodies;
+    std::vector<core::HttpResponse> responses;
+    for (unsigned i = 0; i < requests; ++i) {
+        test.gateway->handle({"GET", "/read/1", {}, {}},
+                             [&](auto outcome) { responses.push_back(std::move(*outcome)); });
+        bodies.push_back(std::make_shared<EndlessBody>());
+        test.sender.next().handler(endlessResponse(bodies.back()));
+    }
+    // One chunk to each in turn, until all of them are forwarded.
+    std::size_t received = 0;
+    while (responses.size() < requests) {
+        for (const auto &body : bodies) {
+            if (!body->pending)
+                continue;
+            body->deliver(chunkBytes);
+            received += chunkBytes;
+            REQUIRE(test.gateway->bufferedBytes() <= limits.maxTotalBufferedBytes);
+        }
+    }
+    CHECK(received <= limits.maxTotalBufferedBytes + requests * chunkBytes);
+    // A caller that has taken what was buffered makes room for others, and so does one that left.
+    const std::size_t before = test.gateway->bufferedBytes();
+    responses.front().body->read([](auto) {});
+    responses.front().body->read([](auto) {});
+    CHECK(test.gateway->bufferedBytes() < before);
+    responses.clear();
+    CHECK(test.gateway->bufferedBytes() == 0);
+    test.send("/read/1");
+    test.sender.answer(200);
+    CHECK(test.response->contentLength == 4);
+}
+
+TEST_CASE("the body of a failure without end is forwarded for a bounded time after the deadline")
+{
+    Fixture test;
+    test.send("/pay/1");
+    const auto body = std::make_shared<EndlessBody>();
+    core::HttpResponse failure = endlessResponse(body);
+    failure.status = 500;
+    test.sender.next().handler(std::move(failure));
+    REQUIRE(test.status() == 500);
+    bool failed = false;
+    const auto onChunk = [&failed](core::Outcome<core::BodyChunk> chunk) { failed = !chunk; };
+    test.response->body->read(onChunk);
+    body->deliver(1);
+    CHECK_FALSE(failed);
+    test.clock.advance(seconds(6));
+    test.response->body->read(onChunk);
+    CHECK(failed);
+}
--- a/libs/http/include/amaranthdale/http/server.h
+++ b/libs/http/include/amaranthdale/http/server.h
@@ -17,6 +17,11 @@
 {
     std::size_t maxHeaderBytes = 16 * 1024; ///< Larger request headers are rejected with 431.
     std::size_t maxBodyBytes = 1024 * 1024; ///< Larger request bodies are rejected with 413.
+    /// For all request bodies in memory together, from the arrival of a body to the end of the
+    /// response. A larger total is rejected with 503, so that the caller tries again elsewhere; a
+    /// body alone is not. Bodies up to `uncountedBodyBytes` aren't affected.
+    std::size_t maxTotalBodyBytes = 256 * 1024 * 1024;
+    std::size_t uncountedBodyBytes = 16 * 1024;
     /// For receiving the complete request header, counted from its first byte.
     core::Duration headerTimeout = std::chrono::seconds(5);
     /// For receiving the complete request body.
--- a/libs/http/src/backend_client.cpp
+++ b/libs/http/src/backend_client.cpp
@@ -34,6 +34,8 @@
                 request.resendable.value_or(exchange->isHead || request.method == "GET");
         exchange->newConnection = request.newConnection;
         exchange->correlationHeader = request.correlationHeader;
+        if (request.completionTimeout)
+            exchange->completionDeadline = net::Deadline::now() + *request.completionTimeout;
         auto header = formatRequestHeader(request, to);
         if (!header) {
             this->rejectInvalidRequest(exchange);
--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -75,7 +75,8 @@
                             "connection to " + core::formatEndpoint(self->remoteEndpoint)
                                     + " closed before the response was complete"});
                 self->chunkHandler = std::move(handler);
-                self->deadline.setAfter(self->current->timeout);
+                self->deadline.setAt(std::min(net::Deadline::now() + self->current->timeout,
+                                              self->current->completionDeadline));
                 self->deliverChunk();
             });
 }
@@ -307,8 +308,8 @@
     result.status = message.result_int();
     result.headers = toHeaders(message);
     result.skippedResponses = this->skippedResponses;
-    // A response that doesn't name its request may be the response to another one.
     result.firstOnConnection = !this->reused && this->skippedResponses == 0;
+    // A response that doesn't name its request may be the response to another one.
     if (this->current->correlationHeader
         && !core::findHeader(result.headers, this->current->correlationHeader->name))
         this->mustClose = true;
--- a/libs/http/src/client_exchange.h
+++ b/libs/http/src/client_exchange.h
@@ -41,6 +41,7 @@
     std::optional<core::Header> correlationHeader; ///< Field that the response must echo.
     core::Duration timeout{};
     core::TimePoint expiresAt;
+    core::TimePoint completionDeadline = core::TimePoint::max(); ///< For the end of the body.
     core::ResponseHandler handler;
 
     // Guarded by the pool's mutex.
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -28,6 +28,7 @@
 constexpr unsigned badRequest = 400;
 constexpr unsigned payloadTooLarge = 413;
 constexpr unsigned requestHeaderFieldsTooLarge = 431;
+constexpr unsigned serviceUnavailable = 503;
 
 } // namespace
 
@@ -83,6 +84,7 @@
 void ServerConnection::awaitRequest()
 {
     this->state = State::Idle;
+    this->releaseBody();
     this->headerParsed = false;
     this->exchange.reset();
     if (this->buffer.size() > 0)
@@ -152,6 +154,9 @@
         }
         if (error)
             return this->onParseError(error);
+        if (!this->holdBody(this->parser->get().body().size()))
+            return this->reject(serviceUnavailable, "overloaded",
+                                "too many large requests at the same time; try again later");
         if (used == 0)
             break;
     }
@@ -267,6 +272,7 @@
 void ServerConnection::linger()
 {
     this->state = State::Lingering;
+    this->releaseBody();
     net::ErrorCode ignored;
     this->socket.shutdown(net::Tcp::socket::shutdown_send, ignored);
     this->buffer.consume(this->buffer.size());
@@ -275,6 +281,27 @@
     this->readMore();
 }
 
+// Counts a request body of `size` bytes. Returns false if all bodies together exceed the limit.
+bool ServerConnection::holdBody(std::size_t size)
+{
+    if (size <= std::max(this->heldBytes, this->context->limits.uncountedBodyBytes))
+        return true;
+    std::atomic<std::size_t> &total = this->context->heldBodyBytes;
+    std::size_t current = total.load();
+    do {
+        const std::size_t others = current - this->heldBytes;
+        if (others > 0 && others + size > this->context->limits.maxTotalBodyBytes)
+            return false;
+    } while (!total.compare_exchange_weak(current, current - this->heldBytes + size));
+    this->heldBytes = size;
+    return true;
+}
+
+void ServerConnection::releaseBody()
+{
+    this->context->heldBodyBytes -= std::exchange(this->heldBytes, 0);
+}
+
 void ServerConnection::onDeadline()
 {
     this->abort();
@@ -286,6 +313,7 @@
         return;
     const bool responding = this->state == State::Responding;
     this->state = State::Closed;
+    this->releaseBody();
     this->writer.cancel();
     this->deadline.stop();
     // The reset prevents the client from mistaking a truncated response for a complete one.
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -24,6 +24,7 @@
 {
 public:
     ServerConnection(net::Socket connectionSocket, std::shared_ptr<ServerContext> serverContext);
+    ~ServerConnection() override { this->releaseBody(); }
 
     /// Starts reading. Must be called once; may be called from any thread.
     void start();
@@ -59,6 +60,8 @@
     void linger();
     void onDeadline();
     void abort();
+    bool holdBody(std::size_t size);
+    void releaseBody();
     std::size_t readSize() const;
 
     net::Socket socket;
@@ -74,6 +77,7 @@
     RequestTraits traits;
     std::shared_ptr<core::Exchange> exchange; // For the request being handled.
     std::size_t discardedBytes = 0;
+    std::size_t heldBytes = 0; // Of the request's body, counted in the context.
 };
 
 } // namespace amaranthdale::http
--- a/libs/http/tests/server_test.cpp
+++ b/libs/http/tests/server_test.cpp
@@ -328,3 +328,44 @@
     REQUIRE_FALSE(second);
     CHECK(second.error().kind == core::ErrorKind::Unavailable);
 }
+
+// Callers with large bodies, many or slow ones, filled the memory of the instance.
+TEST_CASE("server: large bodies are rejected while others take up the limit for all of them")
+{
+    http::ServerLimits limits;
+    limits.maxTotalBodyBytes = 300'000;
+    std::promise<Respond> held;
+    Fixture fixture(
+            [&held](core::HttpRequest request, Respond respond) -> std::shared_ptr<core::Exchange> {
+                if (request.target != "/held")
+                    return echo(std::move(request), respond);
+                held.set_value(std::move(respond));
+                return nullptr;
+            },
+            limits);
+    const auto upload = [](const std::string &target, std::size_t size) {
+        return "POST " + target + " HTTP/1.1\r\nContent-Length: " + std::to_string(size)
+                + "\r\n\r\n" + std::string(size, 'x');
+    };
+    RawSocket first(fixture.endpoint());
+    first.write(upload("/held", 250'000));
+    const Respond respond = held.get_future().get();
+    RawSocket second(fixture.endpoint());
+    second.write(upload("/", 100'000));
+    const std::string rejected = second.readUntil("not-run");
+    CHECK(contains(rejected, "HTTP/1.1 503"));
+    CHECK(contains(rejected, "not-run"));
+    // Small bodies aren't affected.
+    RawSocket small(fixture.endpoint());
+    small.write(upload("/", 5));
+    CHECK(contains(small.readUntil("xxxxx"), "HTTP/1.1 200"));
+    respond(core::makeResponse(200, "done"));
+    CHECK(contains(first.readUntil("done"), "HTTP/1.1 200"));
+    // The connection reads its next request once it has let go of the first one.
+    first.write(upload("/", 5));
+    CHECK(contains(first.readUntil("xxxxx"), "HTTP/1.1 200"));
+    // Neither is a body above the limit while it is the only one.
+    RawSocket large(fixture.endpoint());
+    large.write(upload("/", 400'000));
+    CHECK(contains(large.readUntil("\r\n\r\n"), "HTTP/1.1 200"));
+}
--- a/libs/membership/src/member_exchange.cpp
+++ b/libs/membership/src/member_exchange.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view settledField = "Settled";
 
 constexpr std::size_t maxTableBytes = 1024 * 1024;
+constexpr auto completionTimeout = std::chrono::seconds(5); // For a table that arrives slowly.
 constexpr std::size_t contactsPerDataCentre = 3;
 constexpr std::size_t maxDirectoryContacts = 3; // Contacted after one read of the directory.
 
@@ -197,6 +198,7 @@
     core::HttpRequest request;
     request.method = "POST";
     request.target = std::string(membersTarget);
+    request.completionTimeout = completionTimeout;
     const bool relay = this->isCollector();
     {
         const core::TimePoint now = this->clock.uptime();
--- a/libs/net/include/amaranthdale/net/listener.h
+++ b/libs/net/include/amaranthdale/net/listener.h
@@ -22,6 +22,7 @@
     ConnectionSet connections;
     const Limits limits;
     std::atomic<bool> closeAfterResponse{false}; ///< Connections close after their next response.
+    std::atomic<std::size_t> heldBodyBytes{0};   ///< Request bodies in memory, as far as counted.
 };
 
 /// A listener that calls the `startConnection` function of its transport for each accepted socket.
--- a/libs/relay/include/amaranthdale/relay/record_source.h
+++ b/libs/relay/include/amaranthdale/relay/record_source.h
@@ -28,6 +28,7 @@
     std::size_t unreadable = 0; ///< Records that were skipped because they can't be decoded.
     /// Upper bound on how much older than the call the data may be.
     core::Duration maxAge{};
+    std::size_t bytes = 0; ///< Size of the keys and values, if they were read from the store.
 };
 
 /// Consecutive records of a partition.
--- a/libs/relay/src/relay.cpp
+++ b/libs/relay/src/relay.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::string_view endHeader = "End";
 constexpr std::size_t maxBodyBytes = 16 * 1024 * 1024;
+constexpr auto completionTimeout = std::chrono::seconds(10); // For a body that arrives slowly.
 constexpr auto staleMargin = std::chrono::milliseconds(1);
 constexpr std::uint64_t maxPartitionIndex = 10'000;
 constexpr std::uint64_t maxWaitMilliseconds = 60'000;
@@ -103,8 +104,11 @@
                              handler = std::move(handler)](std::optional<Batch> batch) mutable {
                                 if (!batch)
                                     return self->readNewestDirect(partition, std::move(handler));
-                                handler(Snapshot{std::move(batch->records), batch->nextOffset, 0,
-                                                 batch->maxAge});
+                                Snapshot snapshot;
+                                snapshot.records = std::move(batch->records);
+                                snapshot.nextOffset = batch->nextOffset;
+                                snapshot.maxAge = batch->maxAge;
+                                handler(std::move(snapshot));
                             });
     }
 
@@ -270,6 +274,7 @@
         core::HttpRequest request;
         request.method = "GET";
         request.target = formatTarget(readRequest);
+        request.completionTimeout = readRequest.wait + completionTimeout;
         this->peers.send(relay.peer, std::move(request),
                          readRequest.wait + this->options.responseMargin,
                          [self = this->shared_from_this(), relay, readRequest,
--- a/libs/slots/src/slot_pool_manager.h
+++ b/libs/slots/src/slot_pool_manager.h
@@ -48,10 +48,9 @@
 
 /// Allocates slots of the servers in the gateway's directory to this and other instances. Each
 /// request is granted, refused or reported as undecided; one whose servers leave while it waits is
-/// reported within the check interval. An instance that isn't assigned to a pool allocates its slots too when requesters suspect the
-/// assigned one, but uses no cold servers: any number of instances may be asked at once, and
-/// together they would exceed the warm-up rate.
-/// Thread-safe.
+/// reported within the check interval. An instance that isn't assigned to a pool allocates its
+/// slots too when requesters suspect the assigned one, but uses no cold servers: any number of
+/// instances may be asked at once, and together they would exceed the warm-up rate. Thread-safe.
 class SlotPoolManager : public std::enable_shared_from_this<SlotPoolManager>
 {
 public:
