Don't take a reset during the upload for the end of a body

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection during the upload. They got that part as a complete answer. Cause: the system reports a reset once. If the pending write of the request gets it, the read finds the end of the stream, which ends a body without a length. Change: such a body ends with its connection only if the write has not failed. A write that is still pending is stopped, and its result decides. Two further cases guard answers that end early without a reset.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -32,6 +32,9 @@
 // the server to read it.
 constexpr std::size_t maxBufferedRequestBytes = 16 * 1024;
 
+// Of one part of a write.
+constexpr std::size_t maxWriteBytes = 64 * 1024;
+
 } // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<ConnectionPool> connectionPool,
@@ -145,8 +148,10 @@
 {
     this->state = State::AwaitingResponse;
     this->writing = true;
+    this->writeFailed = false;
     this->releasePending = false;
     this->deliveryPending = false;
+    this->endPending = false;
     this->writtenBytes = 0;
     this->skippedBytes = 0;
     this->skippedResponses = 0;
@@ -155,9 +160,13 @@
     const std::array<boost::asio::const_buffer, 2> buffers{
             boost::asio::buffer(this->current->header),
             boost::asio::buffer(this->current->bodyText())};
-    // The handler keeps the exchange alive, which owns the buffers.
+    // A write between two of its parts isn't cancelled with the socket's operations.
+    const auto mayWrite = [this](const net::ErrorCode &error, std::size_t) {
+        return error || this->endPending ? 0 : maxWriteBytes;
+    };
+    // The handler keeps this connection alive, and the exchange, which owns the buffers.
     boost::asio::async_write(
-            this->socket, buffers,
+            this->socket, buffers, mayWrite,
             [self = this->shared_from_this(), generation = this->socketGeneration,
              exchange = this->current](const net::ErrorCode &error, std::size_t size) {
                 if (generation == self->socketGeneration)
@@ -169,7 +178,10 @@
 void ClientConnection::onWritten(const net::ErrorCode &error, std::size_t size)
 {
     this->writing = false;
+    this->writeFailed = error && error != boost::asio::error::operation_aborted;
     this->writtenBytes = size;
+    if (std::exchange(this->endPending, false))
+        return this->onConnectionLost(boost::asio::error::eof);
     if (std::exchange(this->deliveryPending, false)) {
         this->mustClose = this->mustClose || error;
         return this->deliverResponse();
@@ -384,7 +396,16 @@
     if (this->state == State::Closed || !this->current)
         return this->fail(core::ErrorKind::ConnectionLost, error.message());
     net::ErrorCode parseError;
-    if (this->state == State::ReadingBody && error == boost::asio::error::eof)
+    const bool bodyEnds = this->state == State::ReadingBody && error == boost::asio::error::eof;
+    // The system reports a reset once. If the write of the request gets it, the read finds the end
+    // of the stream, which doesn't end a body then.
+    if (bodyEnds && this->writing) {
+        net::ErrorCode ignored;
+        this->endPending = true;
+        this->socket.cancel(ignored);
+        return;
+    }
+    if (bodyEnds && !this->writeFailed)
         this->parser->put_eof(parseError);
     if (this->state == State::ReadingBody && this->parser->is_done() && !parseError)
         return this->deliverChunk();
--- a/libs/http/src/client_connection.h
+++ b/libs/http/src/client_connection.h
@@ -83,10 +83,12 @@
     ChunkHandler chunkHandler; // Set while a body read is pending.
     bool reading = false;
     bool writing = false;
+    bool writeFailed = false;      // The request was not sent to its end.
     bool reused = false;           // An exchange has completed on this socket.
     bool resent = false;           // The current exchange has been resent on a new socket.
     bool releasePending = false;   // Response complete, request write still pending.
     bool deliveryPending = false;  // The response waits for the completion of the write.
+    bool endPending = false;       // The end of the stream waits for the completion of the write.
     bool discarding = false;       // The response to another request is being read.
     bool mustClose = false;        // A response to another request arrived; not reusable.
     std::size_t skippedBytes = 0;  // Received since the request was written, before its response.
