Reject responses with a status that isn't one

Callers saw (users' report from other systems; found here by test): after a status 000 they got the body of that response as an answer of its own, or waited until their deadline. Statuses from 600 on were passed on. Cause: every status below 200 counted as that of an interim response, so what followed its header was read as the next header. Change: a status outside 100 to 599 makes the response malformed: 502, or another attempt where the request may be repeated.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -21,8 +21,10 @@
 
 constexpr std::size_t headerReadBytes = 8 * 1024;
 constexpr unsigned switchingProtocols = 101;
+constexpr unsigned firstStatus = 100;
 constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned firstRedirect = 300;
+constexpr unsigned lastStatus = 599;
 
 // Maximum size of an incomplete chunk size line with extensions or trailer section; longer ones are
 // rejected.
@@ -35,6 +37,17 @@
 // Of one part of a write.
 constexpr std::size_t maxWriteBytes = 64 * 1024;
 
+// Describes what is invalid in a response header that the parser accepts; null if nothing is.
+const char *findDefect(const boost::beast::http::response_header<> &header)
+{
+    const unsigned status = header.result_int();
+    if (status < firstStatus || status > lastStatus)
+        return "invalid status";
+    if (status == switchingProtocols)
+        return "unexpected status 101 Switching Protocols";
+    return nullptr;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(std::shared_ptr<ConnectionPool> connectionPool,
@@ -259,10 +272,9 @@
 
 void ClientConnection::onHeader()
 {
-    const unsigned status = this->parser->get().result_int();
-    if (status == switchingProtocols)
-        return this->fail(core::ErrorKind::Protocol, "unexpected status 101 Switching Protocols");
-    if (status >= firstFinalStatus)
+    if (const char *defect = findDefect(this->parser->get()))
+        return this->fail(core::ErrorKind::Protocol, std::string("malformed response: ") + defect);
+    if (this->parser->get().result_int() >= firstFinalStatus)
         return this->isMismatchedResponse() ? this->discardResponse() : this->deliverResponse();
     // Interim response, such as 100 Continue; the final one follows.
     this->readNextHeader();
--- a/libs/http/tests/whole_response_test.cpp
+++ b/libs/http/tests/whole_response_test.cpp
@@ -19,6 +19,9 @@
 
 constexpr auto requestTimeout = std::chrono::seconds(5);
 
+// The client reads up to this much of a header at once.
+constexpr std::size_t headerReadBytes = 8 * 1024;
+
 core::HttpRequest upload(std::size_t size = uploadBytes)
 {
     return {"POST", "/", {}, std::string(size, 'x')};
@@ -116,3 +119,24 @@
     REQUIRE(body);
     CHECK(*body == "whole");
 }
+
+// Guards against a status that isn't one being taken for that of an interim response: what follows,
+// the body, was then read as the response.
+TEST_CASE("client: a status outside 100 to 599 gives Protocol")
+{
+    const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        CAPTURE(status);
+        Exchange exchange({"GET", "/", {}, {}});
+        RawSocket connection(exchange.server.acceptor);
+        connection.readUntil("\r\n\r\n");
+        // The body begins with a read of its own.
+        std::string head = "HTTP/1.1 " + status
+                + " -\r\nContent-Length: " + std::to_string(inner.size()) + "\r\nPadding: ";
+        head += std::string(headerReadBytes - head.size() - 4, 'x') + "\r\n\r\n";
+        connection.write(head + inner);
+        const auto response = exchange.response();
+        REQUIRE_FALSE(response);
+        CHECK(response.error().kind == core::ErrorKind::Protocol);
+    }
+}
