Reject responses in a transfer coding other than chunked

Callers would see: the coded bytes of a body, without the field that names the coding. Found by test, while looking for the cause of the answers that weren't whole. Cause: the client decodes `chunked` only, but accepted any Transfer-Encoding and removed the field, as it removes all fields of one connection. Change: a response with any other transfer coding is malformed. Test: "client: a transfer coding other than chunked gives Protocol" failed before (gzip). "client: a response header with a malformed field gives Protocol" guards 15 forms of malformed fields; the parser refused them before as well.

--- a/libs/http/src/client_connection.cpp
+++ b/libs/http/src/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -40,12 +41,19 @@
 // Describes what is invalid in a response header that the parser accepts; null if nothing is.
 const char *findDefect(const boost::beast::http::response_header<> &header)
 {
+    using boost::beast::http::field;
     const unsigned status = header.result_int();
     if (status < firstStatus || status > lastStatus)
         return "invalid status";
     if (status == switchingProtocols)
         return "unexpected status 101 Switching Protocols";
-    return nullptr;
+    // The field is removed with the coding, so a body in any other coding would be passed on as if
+    // it had none.
+    const auto [first, last] = header.equal_range(field::transfer_encoding);
+    const bool isDecoded = std::all_of(first, last, [](const auto &coding) {
+        return boost::beast::iequals(coding.value(), "chunked");
+    });
+    return isDecoded ? nullptr : "unsupported transfer coding";
 }
 
 } // namespace
--- a/libs/http/tests/whole_response_test.cpp
+++ b/libs/http/tests/whole_response_test.cpp
@@ -140,3 +140,51 @@
         CHECK(response.error().kind == core::ErrorKind::Protocol);
     }
 }
+
+// Guards against a field that is dropped or passed on although its name is none: the framing that
+// it was meant to announce is then missing, and the body isn't that of the server.
+TEST_CASE("client: a response header with a malformed field gives Protocol")
+{
+    using namespace std::string_literals;
+    for (const std::string &field :
+         {"Content-Length : 2"s, "Content Length: 2"s, " Content-Length: 2"s, "\tX: y"s,
+          "Trans\x01"
+          "fer-Encoding: chunked"s,
+          "X\0: y"s, "X\x7f: y"s, "X\x80: y"s, "X\v: y"s, ": y"s, "X"s, "X: a\0b"s, "X: a\x01"s,
+          "X: a\x7f"s, "X: a\rY: b"s}) {
+        CAPTURE(field);
+        for (const bool isFirst : {true, false}) {
+            Exchange exchange({"GET", "/", {}, {}});
+            RawSocket connection(exchange.server.acceptor);
+            connection.readUntil("\r\n\r\n");
+            connection.write("HTTP/1.1 200 OK\r\n" + (isFirst ? "" : "A: b\r\n"s) + field + "\r\n"
+                             + (isFirst ? "A: b\r\n"s : "") + "\r\nok");
+            connection.close();
+            const auto response = exchange.response();
+            // A line that begins with a blank continues the field before it (RFC 9112, 5.2).
+            if (!isFirst && (field.front() == ' ' || field.front() == '\t'))
+                continue;
+            REQUIRE_FALSE(response);
+            CHECK(response.error().kind == core::ErrorKind::Protocol);
+        }
+    }
+}
+
+// Guards against a body in a coding that this client doesn't decode: it removes the field that
+// names the coding, so the caller would take the coded bytes for the body.
+TEST_CASE("client: a transfer coding other than chunked gives Protocol")
+{
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "identity", "chunked;q=1"}) {
+        CAPTURE(coding);
+        Exchange exchange({"GET", "/", {}, {}});
+        RawSocket connection(exchange.server.acceptor);
+        connection.readUntil("\r\n\r\n");
+        connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding
+                         + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        connection.close();
+        const auto response = exchange.response();
+        REQUIRE_FALSE(response);
+        CHECK(response.error().kind == core::ErrorKind::Protocol);
+    }
+}
