Keep requests that crash servers away from them

Cause: each instance treated each lost connection by itself; nobody asked what was running at a server that ended. Change: library quarantine. A blocked request is refused at once with 503 and Retry-After, also if it waits.

--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "amaranthdale/memory/budget.h"
 #include "amaranthdale/organisations/key_index.h"
 #include "amaranthdale/organisations/knowledge_age.h"
+#include "amaranthdale/quarantine/crash_guard.h"
 #include "amaranthdale/quotas/quota_gate.h"
 #include "amaranthdale/tables/guarded.h"
 
@@ -146,6 +147,14 @@
     /// requests and be set before the first one arrives.
     void setQuotaGate(quotas::QuotaGate &gate) { this->quotaGate = &gate; }
 
+    /// Asks `guard` whether a request may be sent, and reports lost connections, responses and the
+    /// ends of servers to it. `guard` must outlive all requests and be set before the first one
+    /// arrives.
+    void setCrashGuard(quarantine::CrashGuard &guard) { this->crashGuard = &guard; }
+
+    /// Refuses the waiting requests that the crash guard has blocked meanwhile.
+    void refuseBlockedRequests();
+
     /// Increases with each change of the usable servers or the configuration.
     std::uint64_t directoryVersion() const { return this->changeCount; }
 
@@ -222,6 +231,7 @@
     void explainChoice(const RequestDescription &description, const Configuration &current,
                        const catalog::Route &route, Explanation &explanation) const;
     void explainOwner(keyspace::Key key, Explanation &explanation) const;
+    void reportEndedServers();
     void updateBalancers();
     void refreshBalancers();
     balance::ServiceBalancer &balancerFor(
@@ -257,6 +267,7 @@
     std::atomic<std::uint64_t> changeCount{1};
     SlotAllocator *slotAllocator = nullptr;
     quotas::QuotaGate *quotaGate = nullptr;
+    quarantine::CrashGuard *crashGuard = nullptr;
     Statistics stats;
     const std::shared_ptr<memory::Budget> buffers;
     const std::unique_ptr<HedgeTable> hedges; ///< Null if no request is hedged.
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -81,6 +81,8 @@
         return;
     if (this->gateway.sendingStopped)
         return this->refuse(stoppingRetryAfter, "stopping");
+    if (const auto blocked = this->blockedFor())
+        return this->refuseBlocked(*blocked);
     const core::TimePoint now = this->gateway.clock.now();
     if (this->timeLeft() < minAttemptTime)
         return this->sends > 0 ? this->fail(gatewayTimeoutStatus, "deadline")
@@ -164,6 +166,10 @@
         return this->endAttempt(balance::AttemptResult::Cancelled);
     if (!this->isStillAuthorised())
         return this->endUnauthorised();
+    if (const auto blocked = this->blockedFor()) {
+        this->endAttempt(balance::AttemptResult::Cancelled);
+        return this->refuseBlocked(*blocked);
+    }
     if (!this->useQuota(target))
         return;
     this->loadReport.reset();
@@ -262,6 +268,8 @@
                              : timedOut ? balance::AttemptResult::TimedOut
                                         : balance::AttemptResult::Failed);
     this->demand.tried.push_back(this->lastServer);
+    if (error.kind == core::ErrorKind::ConnectionLost)
+        this->reportLost(this->lastServer, this->serverIncarnation);
     if (notSent)
         return this->continueAfterHedge(
                 [self = this->shared_from_this()] { self->continueUnsent(); });
@@ -287,6 +295,7 @@
                    if (!prefix)
                        return self->onBodyError(prefix.error());
                    self->endAttempt(balance::AttemptResult::Answered);
+                   self->reportAnswered();
                    if (prefix->complete)
                        response.contentLength = prefix->text.size();
                    const auto rest = prefix->complete ? nullptr : std::move(response.body);
@@ -331,6 +340,7 @@
     const bool serverError = response.status >= 500;
     this->endAttempt(serverError ? balance::AttemptResult::Failed
                                  : balance::AttemptResult::Answered);
+    this->reportAnswered();
     ++this->sends;
     ++this->attempts;
     if (serverError)
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -32,6 +32,9 @@
     /// Refuses the request if it waits; otherwise ends it as one that may have run.
     void abandon();
 
+    /// Refuses the request if it waits and may not be sent for now, because it crashes servers.
+    void refuseIfBlocked();
+
 private:
     friend class HedgedAttempt;
 
@@ -80,6 +83,11 @@
     void onResponse(unsigned attemptGeneration, core::Outcome<core::HttpResponse> outcome);
     void applyServerState(const ServerResponse &parsed, const core::ServerName &from,
                           std::uint64_t incarnation);
+    quarantine::Fingerprint fingerprint() const;
+    std::optional<core::Duration> blockedFor() const;
+    void refuseBlocked(core::Duration remaining);
+    void reportLost(const core::ServerName &from, std::uint64_t incarnation);
+    void reportAnswered();
     void reportSend(const catalog::BackendServer &target);
     void reportResponse(const core::HttpResponse &response, const ServerResponse &parsed);
     void onTransportError(const core::Error &error);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -78,6 +78,7 @@
 void Gateway::changeDirectory(const std::function<void(catalog::Directory &)> &change)
 {
     this->directory.with([&change](catalog::Directory &servers) { change(servers); });
+    this->reportEndedServers();
     this->refreshBalancers();
 }
 
--- a/libs/gateway/src/hedge_outcome.cpp
+++ b/libs/gateway/src/hedge_outcome.cpp
@@ -49,6 +49,8 @@
 {
     if (error.kind == core::ErrorKind::Unavailable)
         return this->end(balance::AttemptResult::Unreachable, Effect::NotReached);
+    if (error.kind == core::ErrorKind::ConnectionLost)
+        this->request.reportLost(this->server.name, this->server.incarnation);
     this->end(error.kind == core::ErrorKind::Timeout ? balance::AttemptResult::TimedOut
                                                      : balance::AttemptResult::Failed,
               Effect::MayHaveRun);
@@ -145,6 +147,7 @@
     }
     const core::TimePoint now = this->gateway.clock.now();
     this->releaseServer(balance::AttemptResult::Answered);
+    this->request.reportAnswered();
     this->count("hedges_won_total");
     this->gateway.hedges->with([&](auto &policy) {
         if (!dropped)
--- a/libs/gateway/src/hedged_attempt.cpp
+++ b/libs/gateway/src/hedged_attempt.cpp
@@ -149,7 +149,8 @@
 bool HedgedAttempt::mayStart() const
 {
     return !this->gateway.sendingStopped && !this->gateway.stopping && !this->request.isFinished()
-            && this->gateway.routes() == this->request.table && this->request.isStillAuthorised();
+            && this->gateway.routes() == this->request.table && this->request.isStillAuthorised()
+            && !this->request.blockedFor();
 }
 
 // Takes the token of a hedge if a server of the first attempt's pool may run it. The token isn't
