Bound the delay of removals by the last failed read

Callers would see: requests sent to a server up to 2.2 s after its removal was acknowledged (2 s allowed), if an instance notices the end of an outage 3.7 s late, as the review saw after silent ones. Cause: the grace period in which removals are delayed began at the notice. Test: "a removal that is read late because the end of an outage was noticed late ..." failed with the former rule.

--- a/libs/catalog/include/amaranthdale/catalog/directory.h
+++ b/libs/catalog/include/amaranthdale/catalog/directory.h
@@ -70,8 +70,9 @@
     /// When the current incarnation of a server was marked as leaving, if it was.
     std::optional<core::TimePoint> leavingSince(const core::ServerName &name) const;
 
-    /// Reports that the registry responds again after an outage.
-    void outageEnded(core::TimePoint now);
+    /// Reports that the registry responds again after an outage. The last read that failed began at
+    /// `lastFailedRead`, so the outage ended later than that.
+    void outageEnded(core::TimePoint now, core::TimePoint lastFailedRead);
 
     /// Applies the delayed removals that are due. Returns the names of the removed servers.
     std::vector<core::ServerName> expire(core::TimePoint now);
@@ -110,6 +111,12 @@
     /// was acknowledged (registry's specification), so removals are delayed by less than that.
     static constexpr core::Duration removalDelay = std::chrono::milliseconds(1500);
 
+    /// The end of an outage may be noticed some seconds late. From 3 s after it, the 2 s of
+    /// `removalDelay` count from the registry's acknowledgement, whenever the removal is read here
+    /// (registry's specification). The grace period ends 0.5 s before the first of these may be
+    /// over, for propagation.
+    static constexpr core::Duration maxGraceAfterFailure = std::chrono::milliseconds(4500);
+
     /// Marks of servers that have left the registry are kept as well, since an entry may reappear.
     static constexpr std::size_t maxLeavingMarks = 4096;
 
--- a/libs/catalog/src/directory.cpp
+++ b/libs/catalog/src/directory.cpp
@@ -137,9 +137,9 @@
     return this->leavingMarks.at(name).since;
 }
 
-void Directory::outageEnded(core::TimePoint now)
+void Directory::outageEnded(core::TimePoint now, core::TimePoint lastFailedRead)
 {
-    this->graceEnd = now + reregistrationGrace;
+    this->graceEnd = std::min(now + reregistrationGrace, lastFailedRead + maxGraceAfterFailure);
 }
 
 std::vector<core::ServerName> Directory::expire(core::TimePoint now)
--- a/libs/catalog/tests/directory_test.cpp
+++ b/libs/catalog/tests/directory_test.cpp
@@ -81,7 +81,7 @@
     Directory directory;
     directory.announce(server("a"));
     directory.announce(server("b"));
-    directory.outageEnded(start);
+    directory.outageEnded(start, start);
     directory.remove(core::ServerName("a"), start + milliseconds(100));
     directory.remove(core::ServerName("b"), start + milliseconds(100));
     CHECK(directory.usable(stock).size() == 2);
@@ -92,6 +92,23 @@
     CHECK(directory.nextExpiry() == core::TimePoint::max());
 }
 
+// Guards against a grace period that begins when the end of the outage is noticed, up to 3.7 s
+// late: a server that left 3 s after the outage was still in use 2 s after its removal was
+// acknowledged.
+TEST_CASE(
+        "a removal that is read late because the end of an outage was noticed late is not delayed "
+        "beyond 2 s after its acknowledgement")
+{
+    const core::TimePoint acknowledged = start + seconds(3); // The registry was back at `start`.
+    const core::TimePoint noticed = start + milliseconds(3700);
+    Directory directory;
+    directory.announce(server("a"));
+    directory.outageEnded(noticed, start - milliseconds(100));
+    directory.remove(core::ServerName("a"), noticed);
+    directory.expire(acknowledged + milliseconds(1500));
+    CHECK(directory.usable(stock).empty());
+}
+
 TEST_CASE("without an outage a server is removed immediately")
 {
     Directory directory;
--- a/libs/catalog/tests/entry_order_test.cpp
+++ b/libs/catalog/tests/entry_order_test.cpp
@@ -76,7 +76,7 @@
 {
     Directory directory;
     directory.announce(entry(1, 9), start);
-    directory.outageEnded(start);
+    directory.outageEnded(start, start);
     directory.remove(name, start);
     directory.announce(entry(1, 8), start + milliseconds(100));
     CHECK(directory.expire(start + Directory::removalDelay).size() == 1);
--- a/libs/gateway/tests/request_quarantine_test.cpp
+++ b/libs/gateway/tests/request_quarantine_test.cpp
@@ -65,20 +65,20 @@
 
 struct Instance;
 
-// Delivers each datagram but every `lossInterval`th one.
+// Delivers each datagram but every `messagesPerLoss`th one.
 class Network : public quarantine::CrashChannel
 {
 public:
     void send(const core::Endpoint &to, const std::string &message) override
     {
-        if (++this->sent % this->lossInterval == 0)
+        if (++this->sent % this->messagesPerLoss == 0)
             return;
         if (const auto found = this->receivers.find(to.port); found != this->receivers.end())
             found->second(message);
     }
 
     std::map<std::uint16_t, std::function<void(const std::string &)>> receivers;
-    unsigned lossInterval = 1'000'000;
+    unsigned messagesPerLoss = 1'000'000;
     unsigned sent = 0;
 };
 
@@ -253,7 +253,7 @@
     SUBCASE("with every third message lost")
     {
         cluster.setGuards();
-        cluster.network.lossInterval = 3;
+        cluster.network.messagesPerLoss = 3;
         cluster.play();
         CHECK(cluster.lateCrashes() <= allowedLateCrashes);
     }
