Withdraw requests that wait in the client for a server that has left

Callers saw: of four large payments at the same moment one reached its server 2.7 s after that was acknowledged as draining (2.5 s allowed), and ended with 502 when it exited. Cause: the client holds back bodies beyond its bound for one server. To the gateway these requests were sent, so it didn't look at the registry again. Change: when a server leaves the tables, drains or is in a drained data centre, and when the instance stops sending, the gateway withdraws what the client has not sent. It counts as not sent: another server gets it, or it is refused as not run.

--- a/libs/core/include/amaranthdale/core/message.h
+++ b/libs/core/include/amaranthdale/core/message.h
@@ -136,6 +136,9 @@
 
     /// Cancels the request. The response handler may still be called once. Idempotent.
     virtual void cancel() = 0;
+
+    /// Ends the request with Unavailable if it still waits to be sent. Otherwise does nothing.
+    virtual void withdraw() { }
 };
 
 /// Sends requests to other processes. Thread-safe.
--- a/libs/gateway/include/amaranthdale/gateway/gateway.h
+++ b/libs/gateway/include/amaranthdale/gateway/gateway.h
@@ -232,6 +232,7 @@
                        const catalog::Route &route, Explanation &explanation) const;
     void explainOwner(keyspace::Key key, Explanation &explanation) const;
     void reportEndedServers();
+    void withdrawUnusable();
     void updateBalancers();
     void refreshBalancers();
     balance::ServiceBalancer &balancerFor(
--- a/libs/gateway/src/active_request.cpp
+++ b/libs/gateway/src/active_request.cpp
@@ -199,6 +199,40 @@
         return;
     }
     this->exchange = std::move(started);
+    this->exchangeTarget = {target.name, target.incarnation, this->demand.owner.has_value()};
+    lock.unlock();
+    // The server may have left before the exchange was known here.
+    this->withdrawIfUnusable();
+}
+
+// An attempt may wait in the sender, which doesn't know whether its server is still in use.
+void ActiveRequest::withdrawIfUnusable()
+{
+    ExchangeTarget target;
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->finished || this->exchange == nullptr)
+            return;
+        target = this->exchangeTarget;
+    }
+    const bool usable = this->gateway.withDirectory([&](const catalog::Directory &servers) {
+        return target.ownsKey
+                ? this->gateway.mayServeKeys(servers, target.server, target.incarnation)
+                : servers.isUsable(target.server, target.incarnation);
+    });
+    if (!usable)
+        this->withdraw();
+}
+
+void ActiveRequest::withdraw()
+{
+    std::shared_ptr<core::Exchange> pending;
+    {
+        std::lock_guard lock(this->mutex);
+        pending = this->exchange;
+    }
+    if (pending)
+        pending->withdraw();
 }
 
 void ActiveRequest::onResponse(unsigned attemptGeneration,
--- a/libs/gateway/src/active_request.h
+++ b/libs/gateway/src/active_request.h
@@ -35,6 +35,13 @@
     /// Refuses the request if it waits and may not be sent for now, because it crashes servers.
     void refuseIfBlocked();
 
+    /// Withdraws an attempt that the sender has not sent yet if its server may not get it any more.
+    /// The request then continues with another server.
+    void withdrawIfUnusable();
+
+    /// Withdraws an attempt that the sender has not sent yet.
+    void withdraw();
+
 private:
     friend class HedgedAttempt;
 
@@ -142,6 +149,14 @@
         Lapsed, ///< It was too old to be sent with, and has been given back.
     };
 
+    // To which server an attempt was given to the sender.
+    struct ExchangeTarget
+    {
+        core::ServerName server;
+        std::uint64_t incarnation = 0;
+        bool ownsKey = false; ///< It was chosen as the owner of the request's key.
+    };
+
     Gateway &gateway;
     const std::uint64_t number; ///< Key in the gateway's table of active requests.
     core::ResponseHandler respond;
@@ -175,6 +190,7 @@
     /// No attempt is in progress, and `attempts` counts all earlier ones. Guarded by mutex.
     bool waiting = false;
     std::shared_ptr<core::Exchange> exchange;  ///< Guarded by mutex.
+    ExchangeTarget exchangeTarget;             ///< Of `exchange`; guarded by mutex.
     std::optional<balance::Ticket> slotTicket; ///< Requested or held; guarded by mutex.
     /// Null unless the request may be hedged. Set under mutex before the first attempt, then fixed.
     std::unique_ptr<HedgedAttempt> hedge;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -80,6 +80,7 @@
     this->directory.with([&change](catalog::Directory &servers) { change(servers); });
     this->reportEndedServers();
     this->refreshBalancers();
+    this->withdrawUnusable();
 }
 
 balance::ServiceBalancer &Gateway::balancerFor(
@@ -138,6 +139,7 @@
     this->events.write(log::Severity::Info, "server-leaving",
                        {{"server", server.value}, {"incarnation", std::to_string(incarnation)}});
     this->refreshBalancers();
+    this->withdrawUnusable();
 }
 
 // True if the server may get requests for keys that it owns.
@@ -340,8 +342,17 @@
 void Gateway::stopSending()
 {
     this->sendingStopped = true;
-    for (const auto &request : this->requests())
+    for (const auto &request : this->requests()) {
         request->refuseIfWaiting();
+        request->withdraw();
+    }
+}
+
+// Requests that still wait in the sender for a server that may not get them any more.
+void Gateway::withdrawUnusable()
+{
+    for (const auto &request : this->requests())
+        request->withdrawIfUnusable();
 }
 
 void Gateway::abandonRequests()
--- a/libs/http/src/client_exchange.h
+++ b/libs/http/src/client_exchange.h
@@ -23,6 +23,7 @@
     { }
 
     void cancel() override;
+    void withdraw() override;
 
     /// Calls the handler on the first call only. The pool's mutex must not be held.
     void finish(core::Outcome<core::HttpResponse> outcome)
--- a/libs/http/src/connection_pool.cpp
+++ b/libs/http/src/connection_pool.cpp
@@ -245,6 +245,12 @@
         connection->cancel(exchange);
 }
 
+void ConnectionPool::withdraw(const std::shared_ptr<ClientExchange> &exchange)
+{
+    if (this->removeQueued(exchange))
+        this->postFailure(exchange, "the request was withdrawn before it was sent");
+}
+
 void ConnectionPool::closeAll()
 {
     std::vector<std::shared_ptr<ClientConnection>> open;
@@ -285,4 +291,10 @@
         owner->cancel(this->shared_from_this());
 }
 
+void ClientExchange::withdraw()
+{
+    if (const auto owner = this->pool.lock())
+        owner->withdraw(this->shared_from_this());
+}
+
 } // namespace amaranthdale::http
--- a/libs/http/src/connection_pool.h
+++ b/libs/http/src/connection_pool.h
@@ -45,6 +45,9 @@
 
     void cancel(const std::shared_ptr<ClientExchange> &exchange);
 
+    /// Fails the exchange if it is queued.
+    void withdraw(const std::shared_ptr<ClientExchange> &exchange);
+
     /// Fails all exchanges and closes all connections. Later submissions fail.
     void closeAll();
 
