--- a/review/11/case.py
+++ b/review/11/case.py
@@ -21,7 +21,7 @@
 
 async def case(fleet):
     fleet.upstreams = [standins.Upstream(fleet, f"i-{index}", "stock", ZONES[index % 3], True)
-                       for index in range(4)]
+                       for index in range(8)]
     config = fleet.configuration([("read", "/read/", "idempotent", "stock")], [("stock", True)])
     fleet.store.write("keyed.op", "config", config)
     await fleet.start(ZONES, 2)
@@ -32,12 +32,12 @@
     copy = fleet.store.copy()
     fleet.note("the copy is taken")
     await asyncio.sleep(0.5)
-    for index in (4, 5):  # Empty upstreams are added.
+    for index in (8, 9):  # Empty upstreams are added.
         added = standins.Upstream(fleet, f"i-{index}", "stock", ZONES[index % 3], True)
         fleet.upstreams.append(added)
         await added.start()
     await asyncio.sleep(4.5)
-    if not any(u.held(asyncio.get_running_loop().time()) for u in fleet.upstreams[4:]):
+    if not any(u.held(asyncio.get_running_loop().time()) for u in fleet.upstreams[8:]):
         raise standins.CannotRun("no keys moved to the new upstreams")
 
     if fleet.trouble:
