--- a/review/14/case.py
+++ b/review/14/case.py
@@ -62,6 +62,9 @@
     # What the operator wrote since the copy was taken is written again, all of it.
     fleet.store.write("keyed.op", "evacuate/z3", b"{}")
     fleet.note("operator: z3 is evacuated, written again")
+    await asyncio.sleep(1)
+    fleet.store.write("keyed.op", "evacuate/z3", None)
+    fleet.note("operator: z3 is taken back")
     await asyncio.sleep(WATCH_S)
 
     late = {"run on the dropped route": [], "refused with 404 on the new route": []}
